--- /dev/null
+++ b/internal/arch/arch_test.go
@@ -0,0 +1,69 @@
+// Package arch_test checks the import rules of docs/design.md, section 4.
+package arch_test
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestArch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "arch")
+}
+
+// purePackages hold decisions only.
+var purePackages = []string{"directory", "flow", "balance", "request", "member", "changelog", "document"}
+
+// forbidden lists imports that give a pure package I/O, a clock, concurrency or
+// a global random source.
+var forbidden = []string{
+	"net", "net/http", "os", "io/fs", "syscall", "sync", "sync/atomic", "math/rand", "context", "log/slog",
+	"cassiawood/internal/ring", "cassiawood/internal/duty", "cassiawood/internal/wire", "cassiawood/internal/packet",
+	"cassiawood/internal/changelog/wal", "cassiawood/internal/announce", "cassiawood/internal/operator",
+}
+
+// clockCalls are functions of package time that read the clock or wait.
+var clockCalls = []string{
+	"time.Now", "time.Since", "time.Until", "time.Sleep", "time.After", "time.NewTimer", "time.NewTicker", "time.Tick(",
+}
+
+func sourceFiles(pkg string) []string {
+	GinkgoHelper()
+	all, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
+	Expect(err).NotTo(HaveOccurred())
+	var files []string
+	for _, f := range all {
+		if !strings.HasSuffix(f, "_test.go") {
+			files = append(files, f)
+		}
+	}
+	return files
+}
+
+var _ = Describe("pure packages", func() {
+	for _, pkg := range purePackages {
+		// Guards against a decision that depends on I/O or the wall clock, which no seed could repeat.
+		It("keep I/O, clocks and goroutines out of "+pkg, func() {
+			for _, file := range sourceFiles(pkg) {
+				source, err := os.ReadFile(file)
+				Expect(err).NotTo(HaveOccurred())
+				parsed, err := parser.ParseFile(token.NewFileSet(), file, source, parser.ImportsOnly)
+				Expect(err).NotTo(HaveOccurred())
+				for _, imported := range parsed.Imports {
+					Expect(forbidden).NotTo(ContainElement(strings.Trim(imported.Path.Value, `"`)), file)
+				}
+				for _, call := range clockCalls {
+					Expect(string(source)).NotTo(ContainSubstring(call), file)
+				}
+				Expect(string(source)).NotTo(MatchRegexp(`(?m)^\s*go (func|[a-z]+[.(])`), file)
+			}
+		})
+	}
+})
--- /dev/null
+++ b/internal/directory/types.go
@@ -0,0 +1,164 @@
+// Package directory is the replicated state machine of cassiawood: the
+// document, the endpoints, the entry hosts and the bucket tables. It is a pure
+// function of the log, so that every host at the same index has the same tables.
+package directory
+
+import (
+	"net/netip"
+	"time"
+
+	"cassiawood/internal/document"
+)
+
+// EndpointID identifies one instance of a backend server. The log assigns it
+// in order and never uses it again, so a restarted backend server on the same
+// address is a new endpoint. 0 means none.
+type EndpointID uint32
+
+// EndpointState is what a backend server announces of itself.
+type EndpointState uint8
+
+// States in the order in which an instance passes through them; it never goes back.
+const (
+	Starting EndpointState = iota
+	Ready
+	Draining // finishes its flows, takes no new ones
+	Leaving  // about to stop, takes no new flows
+	Removed  // tombstone: its flows are gone
+)
+
+// AcceptsFlows reports whether new flows may be placed on an endpoint in state s.
+func (s EndpointState) AcceptsFlows() bool { return s == Ready }
+
+// Endpoint is one instance of a backend server.
+type Endpoint struct {
+	ID        EndpointID
+	Instance  string // chosen by the backend server at its start
+	Service   string
+	Address   netip.AddrPort
+	Domain    string
+	Slots     int
+	State     EndpointState
+	HealthURL string
+	LoadURL   string
+	RemovedAt time.Duration // log time of the removal; 0 while present
+}
+
+// HostState is the part an entry host takes in holding records.
+type HostState uint8
+
+// A joined host forwards packets; an active one also holds records.
+const (
+	HostJoined HostState = iota
+	HostActive
+)
+
+// Host is one incarnation of an entry host.
+type Host struct {
+	Name        string
+	Incarnation uint64 // differs after each start of the process
+	Domain      string
+	PacketAddr  netip.AddrPort // Geneve
+	PeerAddr    netip.AddrPort // yamux
+	State       HostState
+}
+
+// Bucket is one place of a service's table; see docs/design.md, section 5.1.
+type Bucket struct {
+	Current EndpointID   // takes the new flows
+	Base    EndpointID   // holds the flows that have no record; 0 when every flow has one
+	Since   []EndpointID // endpoints of flows that have records, newest first
+	Next    EndpointID   // target of a prepared move; 0 when none is prepared
+}
+
+// Settled reports whether all flows of the bucket are on Current without records.
+func (b *Bucket) Settled() bool {
+	return b.Base == b.Current && len(b.Since) == 0 && b.Next == 0
+}
+
+// Entry is one entry of the log. At is the leader's clock in time since the
+// Unix epoch; the directory uses it as the only time.
+type Entry struct {
+	Index   uint64
+	At      time.Duration
+	Command Command
+}
+
+// Command is what an entry asks the directory to do.
+type Command interface{ isCommand() }
+
+// ChangePrepared records a change of one section that waits for every failure
+// domain in service to confirm it.
+type ChangePrepared struct {
+	ChangeID    string
+	Team        string
+	Author      string
+	Section     string
+	BaseVersion uint64
+	Text        string
+	Services    []document.Service // the checked meaning of Text, so that applying needs no parser
+}
+
+// ChangeDecided ends a prepared change.
+type ChangeDecided struct {
+	ChangeID string
+	Accepted bool
+	Reason   string // why it was refused
+}
+
+// EndpointAdded adds an instance; the directory assigns its ID.
+type EndpointAdded struct{ Endpoint Endpoint }
+
+// EndpointStateChanged moves an instance forward through its states.
+type EndpointStateChanged struct {
+	Instance string
+	State    EndpointState
+}
+
+// EndpointRemoved turns an instance into a tombstone.
+type EndpointRemoved struct{ Instance string }
+
+// HostAdded adds an incarnation of an entry host, replacing an earlier one.
+type HostAdded struct{ Host Host }
+
+// HostActivated makes a joined incarnation a holder of records.
+type HostActivated struct {
+	Name        string
+	Incarnation uint64
+}
+
+// HostRemoved removes an incarnation of an entry host.
+type HostRemoved struct {
+	Name        string
+	Incarnation uint64
+}
+
+// DomainService declares a failure domain out of service, or in service again.
+type DomainService struct {
+	Domain string
+	Out    bool
+	Author string
+}
+
+// MovesCommitted makes the moves that were prepared at or before UpTo current.
+type MovesCommitted struct{ UpTo uint64 }
+
+// BucketsMoved asks for Count buckets of a service to move for balance.
+type BucketsMoved struct {
+	Service string
+	From    EndpointID
+	To      EndpointID
+	Count   int
+}
+
+func (ChangePrepared) isCommand()       {}
+func (ChangeDecided) isCommand()        {}
+func (EndpointAdded) isCommand()        {}
+func (EndpointStateChanged) isCommand() {}
+func (EndpointRemoved) isCommand()      {}
+func (HostAdded) isCommand()            {}
+func (HostActivated) isCommand()        {}
+func (HostRemoved) isCommand()          {}
+func (DomainService) isCommand()        {}
+func (MovesCommitted) isCommand()       {}
+func (BucketsMoved) isCommand()         {}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,168 @@
+// Package duty runs each duty of a process on a goroutine of its own and ends
+// the process when a duty stops responding.
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cassiawood/internal/ring"
+)
+
+// Duty is one loop of the process. Run returns when ctx ends or its inbox is
+// closed; it calls Begin and End around each handler so that a handler that
+// hangs can be told from a duty that waits for work.
+type Duty struct {
+	Name string
+	Run  func(ctx context.Context, progress *Progress) error
+}
+
+// Progress records whether a duty is inside a handler and since when.
+type Progress struct {
+	busySince atomic.Int64 // nanoseconds of the group's clock plus 1; 0 while waiting
+	now       func() time.Duration
+}
+
+// Begin marks the start of a handler.
+func (p *Progress) Begin() { p.busySince.Store(int64(p.now()) + 1) }
+
+// End marks the end of a handler.
+func (p *Progress) End() { p.busySince.Store(0) }
+
+// Busy returns how long the current handler has run; 0 while the duty waits.
+func (p *Progress) Busy() time.Duration {
+	since := p.busySince.Load()
+	if since == 0 {
+		return 0
+	}
+	return p.now() - time.Duration(since-1)
+}
+
+// FromRing returns a duty that calls handle for each value of inbox, in order,
+// until the ring is closed and empty.
+func FromRing[T any](name string, inbox *ring.Ring[T], handle func(T) error) Duty {
+	return Duty{Name: name, Run: func(_ context.Context, progress *Progress) error {
+		for {
+			v, err := inbox.Get()
+			if errors.Is(err, ring.ErrClosed) {
+				return nil
+			}
+			progress.Begin()
+			err = handle(v)
+			progress.End()
+			if err != nil {
+				return err
+			}
+		}
+	}}
+}
+
+// Group starts, watches and stops the duties of a process.
+type Group struct {
+	log      *slog.Logger
+	limit    time.Duration
+	now      func() time.Duration
+	onFatal  func(reason error)
+	duties   []Duty
+	progress []*Progress
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	stopping atomic.Bool
+	fatal    sync.Once
+}
+
+// NewGroup returns a group whose watchdog reports a handler that runs longer
+// than limit. now is a monotonic clock; onFatal is called once with the reason
+// when a duty fails or hangs, and should end the process.
+func NewGroup(log *slog.Logger, limit time.Duration, now func() time.Duration, onFatal func(error)) *Group {
+	return &Group{log: log, limit: limit, now: now, onFatal: onFatal}
+}
+
+// Add registers a duty. It must be called before Start.
+func (g *Group) Add(d Duty) { g.duties = append(g.duties, d) }
+
+// Start starts every registered duty and the watchdog.
+func (g *Group) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	for _, d := range g.duties {
+		p := &Progress{now: g.now}
+		g.progress = append(g.progress, p)
+		g.done.Add(1)
+		go g.run(ctx, d, p)
+	}
+	g.done.Add(1)
+	go g.watch(ctx)
+}
+
+// Stop cancels the duties and waits for them until ctx ends. It returns an
+// error that names the duties that were still in a handler.
+func (g *Group) Stop(ctx context.Context) error {
+	g.stopping.Store(true)
+	g.cancel()
+	finished := make(chan struct{})
+	go func() {
+		g.done.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("duties did not stop, busy: %v: %w", g.Hung(0), ctx.Err())
+	}
+}
+
+// Hung returns the names of the duties whose current handler has run longer
+// than limit.
+func (g *Group) Hung(limit time.Duration) []string {
+	var names []string
+	for i, p := range g.progress {
+		if p.Busy() > limit {
+			names = append(names, g.duties[i].Name)
+		}
+	}
+	return names
+}
+
+func (g *Group) run(ctx context.Context, d Duty, p *Progress) {
+	defer g.done.Done()
+	g.log.Debug("duty started", "duty", d.Name)
+	err := d.Run(ctx, p)
+	if g.stopping.Load() || ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		err = errors.New("ended before the process was asked to stop")
+	}
+	g.fail(fmt.Errorf("duty %s: %w", d.Name, err))
+}
+
+func (g *Group) watch(ctx context.Context) {
+	defer g.done.Done()
+	ticker := time.NewTicker(max(g.limit/4, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if hung := g.Hung(g.limit); len(hung) > 0 {
+				g.fail(fmt.Errorf("watchdog: no progress for %s in %v", g.limit, hung))
+				return
+			}
+		}
+	}
+}
+
+func (g *Group) fail(reason error) {
+	g.fatal.Do(func() {
+		g.log.Error("duty failed", "reason", reason)
+		g.onFatal(reason)
+	})
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,173 @@
+// Package ring provides the bounded queues that join the duties of a process.
+package ring
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// ErrClosed is returned by Put after Close, and by Get once a closed ring is empty.
+var ErrClosed = errors.New("ring closed")
+
+// FullRule says what Put does when the ring is full.
+type FullRule int
+
+const (
+	// Block makes Put wait for a free place.
+	Block FullRule = iota
+	// DropNewest makes Put discard the value that is being put.
+	DropNewest
+	// DropOldest makes Put discard the value that has waited longest.
+	DropOldest
+)
+
+// String returns the name of the rule.
+func (r FullRule) String() string {
+	switch r {
+	case Block:
+		return "block"
+	case DropNewest:
+		return "drop-newest"
+	case DropOldest:
+		return "drop-oldest"
+	default:
+		return fmt.Sprintf("FullRule(%d)", int(r))
+	}
+}
+
+// Ring is a first-in first-out queue of fixed capacity. Any number of
+// goroutines may put and get; waiting goroutines block on a condition variable.
+type Ring[T any] struct {
+	name string
+	rule FullRule
+
+	mu       sync.Mutex
+	notEmpty sync.Cond
+	notFull  sync.Cond
+	slots    []T
+	head     int // index of the oldest value
+	length   int
+	closed   bool
+
+	drops atomic.Uint64
+}
+
+// New returns an empty ring. It panics if capacity is less than 1, since that
+// is an error of the program and not of its input.
+func New[T any](name string, capacity int, rule FullRule) *Ring[T] {
+	if capacity < 1 {
+		panic(fmt.Sprintf("ring %s: capacity %d is less than 1", name, capacity))
+	}
+	r := &Ring[T]{name: name, rule: rule, slots: make([]T, capacity)}
+	r.notEmpty.L = &r.mu
+	r.notFull.L = &r.mu
+	return r
+}
+
+// Name returns the name given to New, which labels the metrics of the ring.
+func (r *Ring[T]) Name() string { return r.name }
+
+// Capacity returns the number of values that the ring can hold.
+func (r *Ring[T]) Capacity() int { return len(r.slots) }
+
+// Depth returns the number of values that are waiting.
+func (r *Ring[T]) Depth() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.length
+}
+
+// Drops returns the number of values discarded because the ring was full.
+func (r *Ring[T]) Drops() uint64 { return r.drops.Load() }
+
+// Put appends v. It reports whether v was queued: a full ring that drops the
+// newest value returns false with a nil error. After Close it returns ErrClosed.
+func (r *Ring[T]) Put(v T) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.length == len(r.slots) && !r.closed {
+		switch r.rule {
+		case DropNewest:
+			r.drops.Add(1)
+			return false, nil
+		case DropOldest:
+			r.pop()
+			r.drops.Add(1)
+		default:
+			r.notFull.Wait()
+		}
+	}
+	if r.closed {
+		return false, ErrClosed
+	}
+	r.slots[(r.head+r.length)%len(r.slots)] = v
+	r.length++
+	r.notEmpty.Signal()
+	return true, nil
+}
+
+// Get removes and returns the oldest value, waiting for one if the ring is
+// empty. A closed ring returns its remaining values first and then ErrClosed.
+func (r *Ring[T]) Get() (T, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.waitNotEmpty(); err != nil {
+		var zero T
+		return zero, err
+	}
+	v := r.pop()
+	r.notFull.Signal()
+	return v, nil
+}
+
+// GetBatch waits like Get, then fills dst with as many values as are waiting
+// and returns their number, which is at least 1 unless dst is empty.
+func (r *Ring[T]) GetBatch(dst []T) (int, error) {
+	if len(dst) == 0 {
+		return 0, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.waitNotEmpty(); err != nil {
+		return 0, err
+	}
+	n := min(len(dst), r.length)
+	for i := range n {
+		dst[i] = r.pop()
+	}
+	r.notFull.Broadcast()
+	return n, nil
+}
+
+// Close ends the ring. Waiting Puts return ErrClosed; waiting Gets return the
+// remaining values and then ErrClosed. Close may be called more than once.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.notEmpty.Broadcast()
+	r.notFull.Broadcast()
+}
+
+func (r *Ring[T]) waitNotEmpty() error {
+	for r.length == 0 {
+		if r.closed {
+			return ErrClosed
+		}
+		r.notEmpty.Wait()
+	}
+	return nil
+}
+
+// pop removes the oldest value and clears its slot, so that the ring keeps no
+// reference to a value that was handed on.
+func (r *Ring[T]) pop() T {
+	var zero T
+	v := r.slots[r.head]
+	r.slots[r.head] = zero
+	r.head = (r.head + 1) % len(r.slots)
+	r.length--
+	return v
+}
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,78 @@
+package ring_test
+
+import (
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/ring"
+)
+
+func put(r *ring.Ring[int], values ...int) {
+	GinkgoHelper()
+	for _, v := range values {
+		_, err := r.Put(v)
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+func drain(r *ring.Ring[int]) []int {
+	var got []int
+	for {
+		v, err := r.Get()
+		if err != nil {
+			return got
+		}
+		got = append(got, v)
+	}
+}
+
+var _ = Describe("Ring", func() {
+	// Guards against a queue that grows, or that drops the wrong value, under overload.
+	DescribeTable("a full ring follows its rule",
+		func(rule ring.FullRule, want []int, wantDrops int) {
+			r := ring.New[int]("test", 2, rule)
+			put(r, 1, 2, 3)
+			r.Close()
+			Expect(drain(r)).To(Equal(want))
+			Expect(r.Drops()).To(BeEquivalentTo(wantDrops))
+		},
+		Entry("drop newest", ring.DropNewest, []int{1, 2}, 1),
+		Entry("drop oldest", ring.DropOldest, []int{2, 3}, 1),
+	)
+
+	// Guards against a blocked producer that loses its value or is never woken.
+	It("wakes a producer that waits for a place", func() {
+		r := ring.New[int]("test", 1, ring.Block)
+		var producer sync.WaitGroup
+		producer.Go(func() {
+			defer r.Close()
+			for i := range 100 {
+				_, _ = r.Put(i)
+			}
+		})
+		Expect(drain(r)).To(HaveLen(100))
+		producer.Wait()
+	})
+
+	// Guards against a shutdown that loses queued values or leaves a producer waiting for ever.
+	It("returns the queued values after Close and refuses new ones", func() {
+		r := ring.New[int]("test", 4, ring.Block)
+		put(r, 1, 2)
+		r.Close()
+		_, err := r.Put(3)
+		Expect(err).To(MatchError(ring.ErrClosed))
+		Expect(drain(r)).To(Equal([]int{1, 2}))
+	})
+
+	It("fills a batch with what is waiting", func() {
+		r := ring.New[int]("test", 4, ring.Block)
+		put(r, 1, 2, 3)
+		batch := make([]int, 2)
+		n, err := r.GetBatch(batch)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch[:n]).To(Equal([]int{1, 2}))
+		Expect(r.Depth()).To(Equal(1))
+	})
+})
