Add settings, audit trail and sessions between processes

Cause: the binaries need checked settings, an audit trail and a transport before their duties can be joined. Change: settings as JSON with comments with all findings and their places; a hash-chained, synced audit trail; yamux sessions with envelopes; an offer operation of the ring, so that two duties can exchange without a deadlock.

--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,175 @@
+// Package audit keeps the trail of changes: an append-only file of JSON lines
+// in which each record holds the hash of the one before it.
+package audit
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// maxRecordBytes bounds one line; a section's text is not in the trail, only its hash.
+const maxRecordBytes = 1 << 20
+
+// Record is one change or refusal.
+type Record struct {
+	Index       uint64    `json:"index"` // of the log entry that decided
+	At          time.Time `json:"at"`    // the leader's clock
+	Action      string    `json:"action"`
+	Author      string    `json:"author"`
+	Team        string    `json:"team,omitempty"`
+	Section     string    `json:"section,omitempty"`
+	ChangeID    string    `json:"changeId,omitempty"`
+	BaseVersion uint64    `json:"baseVersion,omitempty"`
+	TextSHA256  string    `json:"textSha256,omitempty"`
+	Outcome     string    `json:"outcome"`
+	Reason      string    `json:"reason,omitempty"`
+	Previous    string    `json:"previous"` // hash of the record before; empty for the first
+	Hash        string    `json:"hash"`     // SHA-256 of this record with Hash empty
+}
+
+// BrokenError says where the chain does not hold.
+type BrokenError struct {
+	Line    int
+	Problem string
+}
+
+// Error names the line and what is wrong with it.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("audit trail, line %d: %s", e.Line, e.Problem)
+}
+
+// Trail appends records to a file and syncs each one.
+type Trail struct {
+	file      *os.File
+	last      string
+	lastIndex uint64
+}
+
+// Open opens or creates the trail and verifies it. A last line without its end
+// is what a crash leaves, and is cut; anything else that is broken is an error.
+func Open(path string) (*Trail, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, fmt.Errorf("open audit trail: %w", err)
+	}
+	t := &Trail{file: file}
+	if err := t.recover(filepath.Dir(path)); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return t, nil
+}
+
+func (t *Trail) recover(folder string) error {
+	content, err := io.ReadAll(t.file)
+	if err != nil {
+		return fmt.Errorf("read audit trail: %w", err)
+	}
+	whole := content[:bytes.LastIndexByte(content, '\n')+1]
+	last, err := Verify(bytes.NewReader(whole))
+	if err != nil {
+		return err
+	}
+	if last != nil {
+		t.last, t.lastIndex = last.Hash, last.Index
+	}
+	if err := t.file.Truncate(int64(len(whole))); err != nil {
+		return fmt.Errorf("cut torn record of the audit trail: %w", err)
+	}
+	if _, err := t.file.Seek(int64(len(whole)), io.SeekStart); err != nil {
+		return fmt.Errorf("seek in the audit trail: %w", err)
+	}
+	return syncFolder(folder)
+}
+
+// Append writes the record and syncs it. A record at or below the last index
+// is one that is replayed from the log after a restart, and is skipped.
+func (t *Trail) Append(r Record) error {
+	if r.Index <= t.lastIndex {
+		return nil
+	}
+	r.Previous = t.last
+	r.Hash = ""
+	r.Hash = r.digest()
+	line, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode audit record: %w", err)
+	}
+	if _, err := t.file.Write(append(line, '\n')); err != nil {
+		return fmt.Errorf("write audit record: %w", err)
+	}
+	if err := t.file.Sync(); err != nil {
+		return fmt.Errorf("sync audit trail: %w", err)
+	}
+	t.last, t.lastIndex = r.Hash, r.Index
+	return nil
+}
+
+// Close closes the file.
+func (t *Trail) Close() error { return t.file.Close() }
+
+// Verify reads a trail and returns its last record, nil when it is empty, or a
+// BrokenError that names the first line that does not fit the chain.
+func Verify(r io.Reader) (*Record, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxRecordBytes)
+	var last *Record
+	for number := 1; lines.Scan(); number++ {
+		var record Record
+		if err := json.Unmarshal(lines.Bytes(), &record); err != nil {
+			return last, &BrokenError{Line: number, Problem: "not a record: " + err.Error()}
+		}
+		if problem := record.problemAfter(last); problem != "" {
+			return last, &BrokenError{Line: number, Problem: problem}
+		}
+		last = &record
+	}
+	if err := lines.Err(); err != nil {
+		return last, fmt.Errorf("read audit trail: %w", err)
+	}
+	return last, nil
+}
+
+func (r Record) problemAfter(last *Record) string {
+	previous, previousIndex := "", uint64(0)
+	if last != nil {
+		previous, previousIndex = last.Hash, last.Index
+	}
+	switch {
+	case r.digest() != r.Hash:
+		return "the record does not match its hash"
+	case r.Previous != previous:
+		return "the record does not follow the one before it"
+	case r.Index <= previousIndex:
+		return "the log index does not rise"
+	}
+	return ""
+}
+
+// digest covers all fields but Hash itself.
+func (r Record) digest() string {
+	r.Hash = ""
+	line, err := json.Marshal(r)
+	if err != nil {
+		panic("audit: a record of plain values does not encode: " + err.Error())
+	}
+	sum := sha256.Sum256(line)
+	return hex.EncodeToString(sum[:])
+}
+
+// syncFolder makes a newly created file survive a crash.
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("open folder of the audit trail: %w", err)
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,89 @@
+package audit_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/audit"
+)
+
+func TestAudit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "audit")
+}
+
+var _ = Describe("Trail", func() {
+	var path string
+
+	write := func(indexes ...uint64) {
+		GinkgoHelper()
+		trail, err := audit.Open(path)
+		Expect(err).NotTo(HaveOccurred())
+		for _, i := range indexes {
+			r := audit.Record{Index: i, At: time.Unix(int64(i), 0).UTC(), Action: "save", Author: "ann", Outcome: "accepted"}
+			Expect(trail.Append(r)).To(Succeed())
+		}
+		Expect(trail.Close()).To(Succeed())
+	}
+	content := func() string {
+		GinkgoHelper()
+		b, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		return string(b)
+	}
+	replace := func(text string) {
+		GinkgoHelper()
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	}
+	BeforeEach(func() { path = filepath.Join(GinkgoT().TempDir(), "audit.jsonl") })
+
+	// Guards against a restart that starts a new chain or records replayed entries twice.
+	It("continues the chain after a restart and skips replayed entries", func() {
+		write(3, 5)
+		write(3, 5, 9)
+		last, err := audit.Verify(strings.NewReader(content()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Index).To(BeEquivalentTo(9))
+		Expect(strings.Count(content(), "\n")).To(Equal(3))
+	})
+
+	// Guards against an edit of the file that nobody notices.
+	DescribeTable("finds a changed trail",
+		func(change func(lines []string) []string, line int) {
+			write(1, 2, 3)
+			replace(strings.Join(change(strings.SplitAfter(content(), "\n")), ""))
+			_, err := audit.Open(path)
+			var broken *audit.BrokenError
+			Expect(errors.As(err, &broken)).To(BeTrue())
+			Expect(broken.Line).To(Equal(line))
+		},
+		Entry("an edited author", func(l []string) []string {
+			l[1] = strings.Replace(l[1], "ann", "eve", 1)
+			return l
+		}, 2),
+		Entry("a removed record", func(l []string) []string { return append(l[:1], l[2:]...) }, 2),
+		Entry("two records in the wrong order", func(l []string) []string {
+			l[1], l[2] = l[2], l[1]
+			return l
+		}, 2),
+	)
+
+	// Guards against a crash in the middle of a write that makes the trail unreadable.
+	It("cuts a torn last record", func() {
+		write(1, 2)
+		whole := content()
+		replace(whole + `{"index":3,"at":"19`)
+		write(3)
+		last, err := audit.Verify(strings.NewReader(content()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Index).To(BeEquivalentTo(3))
+		Expect(content()).To(HavePrefix(whole))
+	})
+})
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -102,12 +102,25 @@
 	if r.closed {
 		return false, ErrClosed
 	}
-	r.slots[(r.head+r.length)%len(r.slots)] = v
-	r.length++
-	r.notEmpty.Signal()
+	r.push(v)
 	return true, nil
 }
 
+// Offer appends v without waiting, whatever the rule of the ring. It reports
+// whether v was queued; a refused value counts as a drop. A duty that must not
+// wait for a duty that may wait for it uses Offer, so that no cycle of full
+// rings can deadlock.
+func (r *Ring[T]) Offer(v T) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.length == len(r.slots) {
+		r.drops.Add(1)
+		return false
+	}
+	r.push(v)
+	return true
+}
+
 // Get removes and returns the oldest value, waiting for one if the ring is
 // empty. A closed ring returns its remaining values first and then ErrClosed.
 func (r *Ring[T]) Get() (T, error) {
@@ -161,6 +174,12 @@
 	return nil
 }
 
+func (r *Ring[T]) push(v T) {
+	r.slots[(r.head+r.length)%len(r.slots)] = v
+	r.length++
+	r.notEmpty.Signal()
+}
+
 // pop removes the oldest value and clears its slot, so that the ring keeps no
 // reference to a value that was handed on.
 func (r *Ring[T]) pop() T {
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -66,6 +66,14 @@
 		Expect(drain(r)).To(Equal([]int{1, 2}))
 	})
 
+	// Guards against a deadlock of two duties that wait for each other's full ring.
+	It("refuses an offer instead of waiting when full", func() {
+		r := ring.New[int]("test", 1, ring.Block)
+		Expect(r.Offer(1)).To(BeTrue())
+		Expect(r.Offer(2)).To(BeFalse())
+		Expect(r.Drops()).To(BeEquivalentTo(1))
+	})
+
 	It("fills a batch with what is waiting", func() {
 		r := ring.New[int]("test", 4, ring.Block)
 		put(r, 1, 2, 3)
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,141 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+const (
+	minFlows            = 1_000
+	maxFlows            = 4_000_000
+	maxShutdownSeconds  = 600
+	minControlHosts     = 1
+	maxControlHosts     = 7
+	tokenHashBytes      = 32
+	maxNameBytes        = 64
+	maxFailureDomains   = 32 // the hand-off option holds the set of domains in 32 bits
+	missing             = "is missing"
+	loopbackOnlyProblem = "may be left out only when every address is a loopback address"
+)
+
+func (s *EntryHost) check(report func(path, problem string)) {
+	checkName("host", s.Host, report)
+	checkName("failureDomain", s.FailureDomain, report)
+	addresses := map[string]netip.AddrPort{
+		"packetAddress": s.PacketAddress, "fabricAddress": s.FabricAddress, "peerAddress": s.PeerAddress,
+		"announceAddress": s.AnnounceAddress, "telemetryAddress": s.TelemetryAddress,
+	}
+	for path, address := range addresses {
+		checkAddress(path, address, report)
+	}
+	if len(s.ControlHosts) < minControlHosts {
+		report("controlHosts", missing)
+	}
+	for i, address := range s.ControlHosts {
+		checkAddress(fmt.Sprintf("controlHosts[%d]", i), address, report)
+	}
+	checkRange("maxFlows", float64(s.MaxFlows), minFlows, maxFlows, report)
+	checkRange("shutdownLimitSeconds", s.ShutdownLimitSeconds, 1, maxShutdownSeconds, report)
+	checkRange("drainSeconds", s.DrainSeconds, 0, s.ShutdownLimitSeconds, report)
+	s.TLS.check("tls", append(s.ControlHosts, s.PeerAddress), report)
+	s.Log.check(report)
+}
+
+func (s *ControlHost) check(report func(path, problem string)) {
+	if len(s.Members) < minControlHosts || len(s.Members) > maxControlHosts {
+		report("members", fmt.Sprintf("must list %d to %d control hosts", minControlHosts, maxControlHosts))
+	}
+	links := s.checkMembers(report)
+	if s.DataFolder == "" {
+		report("dataFolder", missing)
+	}
+	checkAddress("operatorAddress", s.OperatorAddress, report)
+	checkAddress("telemetryAddress", s.TelemetryAddress, report)
+	if len(s.FailureDomains) == 0 || len(s.FailureDomains) > maxFailureDomains {
+		report("failureDomains", fmt.Sprintf("must list 1 to %d failure domains", maxFailureDomains))
+	}
+	for i, team := range s.Teams {
+		team.check(fmt.Sprintf("teams[%d]", i), report)
+	}
+	s.TLS.check("tls", links, report)
+	s.OperatorTLS.check("operatorTls", []netip.AddrPort{s.OperatorAddress}, report)
+	s.Log.check(report)
+}
+
+func (s *ControlHost) checkMembers(report func(path, problem string)) []netip.AddrPort {
+	links := make([]netip.AddrPort, 0, len(s.Members))
+	seen := map[uint64]bool{}
+	for i, m := range s.Members {
+		path := fmt.Sprintf("members[%d]", i)
+		if m.ID == 0 || seen[m.ID] {
+			report(path+".id", "must be a number of 1 or more that no other member has")
+		}
+		seen[m.ID] = true
+		checkName(path+".failureDomain", m.FailureDomain, report)
+		checkAddress(path+".linkAddress", m.LinkAddress, report)
+		links = append(links, m.LinkAddress)
+	}
+	if !seen[s.ID] {
+		report("id", "is not among the members")
+	}
+	return links
+}
+
+func (t Team) check(path string, report func(path, problem string)) {
+	checkName(path+".name", t.Name, report)
+	hash, err := hex.DecodeString(t.TokenSHA256)
+	if err != nil || len(hash) != tokenHashBytes {
+		report(path+".tokenSha256", "must be a SHA-256 hash of 64 hexadecimal digits")
+	}
+	if _, err := time.Parse(time.RFC3339, t.Expires); t.Expires != "" && err != nil {
+		report(path+".expires", `must be a time such as "2027-01-31T00:00:00Z"`)
+	}
+}
+
+func (t TLS) check(path string, addresses []netip.AddrPort, report func(path, problem string)) {
+	if t == (TLS{}) {
+		for _, a := range addresses {
+			if !a.Addr().IsLoopback() {
+				report(path, loopbackOnlyProblem)
+				return
+			}
+		}
+		return
+	}
+	if t.CertificateFile == "" || t.KeyFile == "" {
+		report(path, "needs certificateFile and keyFile")
+	}
+}
+
+func (l Log) check(report func(path, problem string)) {
+	switch l.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		report("log.level", "must be debug, info, warn or error")
+	}
+	if l.Format != "text" && l.Format != "json" {
+		report("log.format", "must be text or json")
+	}
+}
+
+func checkName(path, name string, report func(path, problem string)) {
+	if name == "" {
+		report(path, missing)
+	} else if len(name) > maxNameBytes {
+		report(path, fmt.Sprintf("is longer than %d bytes", maxNameBytes))
+	}
+}
+
+func checkAddress(path string, address netip.AddrPort, report func(path, problem string)) {
+	if !address.IsValid() {
+		report(path, `is missing or is not an IP address with a port, such as "10.0.0.1:6081"`)
+	}
+}
+
+func checkRange(path string, value, low, high float64, report func(path, problem string)) {
+	if value < low || value > high {
+		report(path, fmt.Sprintf("must be from %g to %g", low, high))
+	}
+}
--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// decoder fills a struct from a hujson tree and collects what does not fit.
+type decoder struct {
+	file     string
+	source   []byte
+	findings []Finding
+	places   map[string]int // byte offset of each setting, by its path
+}
+
+// checker is a settings type that checks its own values. report takes the path
+// of a setting, such as "members[0].address".
+type checker interface {
+	check(report func(path, problem string))
+}
+
+// load reads file into dst, a pointer to a struct with json tags. It returns a
+// FindingsError with everything that is wrong.
+func load(file string, dst checker) error {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	return decode(file, source, dst)
+}
+
+func decode(file string, source []byte, dst checker) error {
+	tree, err := hujson.Parse(source)
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	d := &decoder{file: file, source: source, places: map[string]int{}}
+	d.value("", tree, reflect.ValueOf(dst).Elem())
+	dst.check(func(path, problem string) { d.report(d.place(path), path, problem, "") })
+	if len(d.findings) == 0 {
+		return nil
+	}
+	sortFindings(d.findings)
+	return &FindingsError{Findings: d.findings}
+}
+
+// place returns the offset of a setting, or of the closest enclosing one when
+// the file does not contain it.
+func (d *decoder) place(path string) int {
+	for path != "" {
+		if offset, ok := d.places[path]; ok {
+			return offset
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 0
+}
+
+func (d *decoder) report(offset int, name, problem, suggestion string) {
+	before := string(d.source[:min(offset, len(d.source))])
+	d.findings = append(d.findings, Finding{
+		File:       d.file,
+		Line:       strings.Count(before, "\n") + 1,
+		Column:     len(before) - strings.LastIndex(before, "\n"),
+		Name:       name,
+		Problem:    problem,
+		Suggestion: suggestion,
+	})
+}
+
+func (d *decoder) value(path string, v hujson.Value, dst reflect.Value) {
+	if path != "" {
+		d.places[path] = v.StartOffset
+	}
+	_, isText := dst.Addr().Interface().(encoding.TextUnmarshaler)
+	switch {
+	case isText:
+		d.scalar(path, v, dst)
+	case dst.Kind() == reflect.Struct:
+		d.object(path, v, dst)
+	case dst.Kind() == reflect.Slice:
+		d.array(path, v, dst)
+	default:
+		d.scalar(path, v, dst)
+	}
+}
+
+func (d *decoder) object(path string, v hujson.Value, dst reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.report(v.StartOffset, path, "must be an object in braces", "")
+		return
+	}
+	fields := fieldsByName(dst)
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		full := joinPath(path, name)
+		field, known := fields[name]
+		switch {
+		case !known:
+			d.report(member.Name.StartOffset, full, "there is no such setting", closest(name, fields))
+		case seen[name]:
+			d.report(member.Name.StartOffset, full, "is given twice", "")
+		default:
+			d.value(full, member.Value, field)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *decoder) array(path string, v hujson.Value, dst reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.report(v.StartOffset, path, "must be a list in square brackets", "")
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.value(fmt.Sprintf("%s[%d]", path, i), element, dst.Index(i))
+	}
+}
+
+func (d *decoder) scalar(path string, v hujson.Value, dst reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok {
+		d.report(v.StartOffset, path, "must be a single value", "")
+		return
+	}
+	if err := json.Unmarshal(literal, dst.Addr().Interface()); err != nil {
+		d.report(v.StartOffset, path, scalarProblem(err, dst), "")
+	}
+}
+
+func scalarProblem(err error, dst reflect.Value) string {
+	var mismatch *json.UnmarshalTypeError
+	if !errors.As(err, &mismatch) {
+		return err.Error()
+	}
+	kinds := map[reflect.Kind]string{
+		reflect.String: "a text in quotes", reflect.Bool: "true or false",
+		reflect.Int: "a whole number", reflect.Uint64: "a whole number of 0 or more", reflect.Float64: "a number",
+	}
+	if want, ok := kinds[dst.Kind()]; ok {
+		return fmt.Sprintf("must be %s, and is a %s", want, mismatch.Value)
+	}
+	return err.Error()
+}
+
+func fieldsByName(v reflect.Value) map[string]reflect.Value {
+	fields := map[string]reflect.Value{}
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		fields[name] = v.Field(i)
+	}
+	return fields
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/internal/settings/types.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Log configures log/slog.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // text or json
+}
+
+// TLS names the certificate files of a process. Empty names mean plain TCP,
+// which is allowed only between loopback addresses.
+type TLS struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+	AuthorityFile   string `json:"authorityFile"`
+}
+
+// EntryHost holds the settings of cassiawood-entry.
+type EntryHost struct {
+	Host                 string           `json:"host"`
+	FailureDomain        string           `json:"failureDomain"`
+	PacketAddress        netip.AddrPort   `json:"packetAddress"` // Geneve over UDP
+	FabricAddress        netip.AddrPort   `json:"fabricAddress"` // where packets are sent on to
+	PeerAddress          netip.AddrPort   `json:"peerAddress"`
+	AnnounceAddress      netip.AddrPort   `json:"announceAddress"`
+	TelemetryAddress     netip.AddrPort   `json:"telemetryAddress"`
+	ControlHosts         []netip.AddrPort `json:"controlHosts"`
+	TLS                  TLS              `json:"tls"`
+	Log                  Log              `json:"log"`
+	MaxFlows             int              `json:"maxFlows"`
+	DrainSeconds         float64          `json:"drainSeconds"`         // how long a stop waits for packets to end
+	ShutdownLimitSeconds float64          `json:"shutdownLimitSeconds"` // a stop takes at most this long
+}
+
+// ControlMember is one control host as the others know it.
+type ControlMember struct {
+	ID            uint64         `json:"id"`
+	FailureDomain string         `json:"failureDomain"`
+	LinkAddress   netip.AddrPort `json:"linkAddress"`
+	OperatorURL   string         `json:"operatorUrl"`
+}
+
+// Team may edit the sections that it owns.
+type Team struct {
+	Name        string `json:"name"`
+	TokenSHA256 string `json:"tokenSha256"` // hexadecimal
+	Expires     string `json:"expires"`     // RFC 3339; empty means never
+}
+
+// ControlHost holds the settings of cassiawood-control.
+type ControlHost struct {
+	ID               uint64          `json:"id"`
+	Members          []ControlMember `json:"members"`
+	DataFolder       string          `json:"dataFolder"`
+	Rejoining        bool            `json:"rejoining"` // the data folder was lost: catch up before voting
+	OperatorAddress  netip.AddrPort  `json:"operatorAddress"`
+	OperatorTLS      TLS             `json:"operatorTls"`
+	TelemetryAddress netip.AddrPort  `json:"telemetryAddress"`
+	Teams            []Team          `json:"teams"`
+	TLS              TLS             `json:"tls"`
+	Log              Log             `json:"log"`
+	FailureDomains   []string        `json:"failureDomains"`
+}
+
+// Seconds converts a setting in seconds to a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// LoadEntryHost reads and checks the settings of an entry host.
+func LoadEntryHost(file string) (EntryHost, error) {
+	s := EntryHost{
+		Log: Log{Level: "info", Format: "json"}, MaxFlows: 400_000, DrainSeconds: 5, ShutdownLimitSeconds: 30,
+	}
+	return s, load(file, &s)
+}
+
+// LoadControlHost reads and checks the settings of a control host.
+func LoadControlHost(file string) (ControlHost, error) {
+	s := ControlHost{Log: Log{Level: "info", Format: "json"}}
+	return s, load(file, &s)
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	// maxMessageBytes bounds an envelope; a snapshot of the directory at 12,000
+	// endpoints is below it.
+	maxMessageBytes = 64 << 20
+	// keepAliveInterval and writeTimeout bound how long a silent partition can
+	// hold a session open.
+	keepAliveInterval = time.Second
+	writeTimeout      = 2 * time.Second
+	dialTimeout       = 2 * time.Second
+)
+
+// Session is a yamux session with one peer process.
+type Session struct {
+	mux *yamux.Session
+}
+
+// Stream carries envelopes in order, in both directions. One goroutine may send
+// while another receives.
+type Stream struct {
+	conn net.Conn
+	in   *bufio.Reader
+	out  *bufio.Writer
+	sent atomic.Uint64
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAliveInterval
+	c.ConnectionWriteTimeout = writeTimeout
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Dial opens a session with the process at address. A nil config means plain
+// TCP, which settings allow on loopback addresses only.
+func Dial(ctx context.Context, address string, config *tls.Config) (*Session, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	if config != nil {
+		conn, err = clientHandshake(ctx, conn, config)
+		if err != nil {
+			return nil, fmt.Errorf("dial %s: %w", address, err)
+		}
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("open session with %s: %w", address, err), conn.Close())
+	}
+	return &Session{mux: mux}, nil
+}
+
+func clientHandshake(ctx context.Context, conn net.Conn, config *tls.Config) (net.Conn, error) {
+	secured := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(fmt.Errorf("TLS handshake: %w", err), conn.Close())
+	}
+	return secured, nil
+}
+
+// Accept turns an accepted connection into a session.
+func Accept(conn net.Conn, config *tls.Config) (*Session, error) {
+	if config != nil {
+		conn = tls.Server(conn, config)
+	}
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("accept session: %w", err), conn.Close())
+	}
+	return &Session{mux: mux}, nil
+}
+
+// Open opens a stream to the peer.
+func (s *Session) Open() (*Stream, error) {
+	conn, err := s.mux.Open()
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	return newStream(conn), nil
+}
+
+// Accept waits for a stream that the peer opens.
+func (s *Session) Accept() (*Stream, error) {
+	conn, err := s.mux.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("accept stream: %w", err)
+	}
+	return newStream(conn), nil
+}
+
+// Close ends the session and all its streams.
+func (s *Session) Close() error { return s.mux.Close() }
+
+func newStream(conn net.Conn) *Stream {
+	return &Stream{conn: conn, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
+}
+
+// Send writes one envelope and flushes it.
+func (s *Stream) Send(e *wirepb.Envelope) error {
+	n, err := protodelim.MarshalTo(s.out, e)
+	s.sent.Add(uint64(n))
+	if err == nil {
+		err = s.out.Flush()
+	}
+	if err != nil {
+		return fmt.Errorf("send %T: %w", e.GetBody(), err)
+	}
+	return nil
+}
+
+// Receive waits for the next envelope.
+func (s *Stream) Receive() (*wirepb.Envelope, error) {
+	e := &wirepb.Envelope{}
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	if err := options.UnmarshalFrom(s.in, e); err != nil {
+		return nil, fmt.Errorf("receive: %w", err)
+	}
+	if e.GetBody() == nil {
+		return nil, errors.New("receive: envelope without a body")
+	}
+	return e, nil
+}
+
+// SentBytes returns the number of envelope bytes sent, without framing below it.
+func (s *Stream) SentBytes() uint64 { return s.sent.Load() }
+
+// Close ends the stream.
+func (s *Stream) Close() error { return s.conn.Close() }
