--- /dev/null
+++ b/internal/packet/fuzz_test.go
@@ -0,0 +1,95 @@
+package packet_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"cassiawood/internal/document"
+	"cassiawood/internal/packet"
+)
+
+// FuzzParse guards against a packet from the network that panics the entry
+// process, or that rewriting damages: there and back must restore every byte.
+func FuzzParse(f *testing.F) {
+	f.Add(tcpPacket(caller, service, layers.TCP{SYN: true}, []byte("data")))
+	f.Add(udpPacket(caller, service, []byte("data")))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		var h packet.Headers
+		if packet.Parse(p, &h) != nil {
+			return
+		}
+		before, to := bytes.Clone(p), h.Dst
+		if err := packet.RewriteDst(p, &h, backend); err != nil {
+			t.Fatal(err)
+		}
+		var again packet.Headers
+		if err := packet.Parse(p, &again); err != nil || again != h {
+			t.Fatalf("after the rewrite: %v, %+v is not %+v", err, again, h)
+		}
+		if err := packet.RewriteDst(p, &h, to); err != nil {
+			t.Fatal(err)
+		}
+		// 0x0000 and 0xffff are the same checksum in one's complement arithmetic, and
+		// a sender may use either; the second one becomes the first.
+		transport := int(p[0]&0x0f) * 4
+		canonical(before[10:12])
+		canonical(p[10:12])
+		if h.Protocol == document.TCP {
+			canonical(before[transport+16:])
+			canonical(p[transport+16:])
+		}
+		if !bytes.Equal(before, p) {
+			t.Fatalf("there and back:\n%x\n%x", before, p)
+		}
+		packet.AppendReset(nil, &h)
+	})
+}
+
+func canonical(checksum []byte) {
+	if checksum[0] == 0xff && checksum[1] == 0xff {
+		checksum[0], checksum[1] = 0, 0
+	}
+}
+
+// FuzzDecodeGeneve guards against a panic, and against reading what gopacket refuses.
+func FuzzDecodeGeneve(f *testing.F) {
+	f.Add(packet.AppendGeneve(nil, 1, nil))
+	f.Add(packet.AppendGeneve(nil, 1, &packet.Handoff{Kind: packet.MidFlow}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var g packet.Geneve
+		// gopacket counts the header in a uint8, so it misreads one longer than 255 bytes.
+		if packet.DecodeGeneve(b, &g) != nil || len(b)-len(g.Inner) > 255 {
+			return
+		}
+		var reference layers.Geneve
+		if err := reference.DecodeFromBytes(b, gopacket.NilDecodeFeedback); err != nil {
+			t.Fatalf("gopacket refuses it: %v", err)
+		}
+		if g.VNI != reference.VNI || !bytes.Equal(g.Inner, reference.Payload) {
+			t.Fatalf("%+v is not %+v", g, reference)
+		}
+	})
+}
+
+// FuzzDecodeHandoff guards against a panic, and against a hand-off that changes when it is passed on.
+func FuzzDecodeHandoff(f *testing.F) {
+	for _, h := range []packet.Handoff{{Kind: packet.MidFlow}, {Kind: packet.NewFlowRecord, HasRecord: true}} {
+		f.Add(packet.AppendGeneve(nil, 0, &h)[packet.HeaderLen+4:])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h, again packet.Handoff
+		if packet.DecodeHandoff(b, &h) != nil {
+			return
+		}
+		var g packet.Geneve
+		if err := packet.DecodeGeneve(packet.AppendGeneve(nil, 0, &h), &g); err != nil {
+			t.Fatal(err)
+		}
+		if err := packet.DecodeHandoff(g.Handoff, &again); err != nil || again != h {
+			t.Fatalf("%v: %+v is not %+v", err, again, h)
+		}
+	})
+}
--- /dev/null
+++ b/internal/packet/geneve_test.go
@@ -0,0 +1,121 @@
+package packet_test
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/packet"
+)
+
+func randomHandoff(random *rand.Rand) packet.Handoff {
+	name, err := packet.NewHostName(strings.Repeat("h", random.IntN(packet.MaxHostName+1)))
+	if err != nil {
+		panic(err)
+	}
+	h := packet.Handoff{
+		Kind: packet.Kind(1 + random.IntN(3)), Hops: uint8(random.Uint32()), Service: random.Uint64(),
+		Bucket: random.Uint32(), Asked: random.Uint64(), Ingress: name,
+	}
+	if h.Kind == packet.NewFlowRecord {
+		h.HasRecord = true
+		h.Record = packet.Record{
+			Endpoint: directory.EndpointID(random.Uint32()), State: uint8(random.Uint32()), InitialSequence: random.Uint32(),
+		}
+	}
+	return h
+}
+
+var _ = Describe("Geneve", func() {
+	inner := tcpPacket(caller, service, layers.TCP{SYN: true}, nil)
+
+	// Guards against headers that other implementations of RFC 8926 read differently.
+	It("agrees with gopacket's layer on hand-offs of every size", func() {
+		random := rand.New(rand.NewPCG(3, 4))
+		for range 2000 {
+			handoff := randomHandoff(random)
+			vni := random.Uint32() & 0xffffff
+			encoded := append(packet.AppendGeneve(nil, vni, &handoff), inner...)
+			Expect(len(encoded) - len(inner)).To(BeNumerically("<=", packet.MaxHeaderLen))
+
+			var reference layers.Geneve
+			Expect(reference.DecodeFromBytes(encoded, gopacket.NilDecodeFeedback)).To(Succeed())
+			Expect(reference.VNI).To(Equal(vni))
+			Expect(reference.Protocol).To(Equal(layers.EthernetTypeIPv4))
+			Expect(reference.CriticalOption).To(BeTrue())
+			Expect(reference.Options).To(HaveLen(1))
+			Expect(reference.Options[0].Class).To(BeEquivalentTo(packet.HandoffClass))
+			Expect(reference.Payload).To(Equal(inner))
+
+			var g packet.Geneve
+			Expect(packet.DecodeGeneve(serialize(&reference, gopacket.Payload(inner)), &g)).To(Succeed())
+			Expect(g.VNI).To(Equal(vni))
+			Expect(g.Inner).To(Equal(inner))
+			Expect(g.Handoff).To(Equal(reference.Options[0].Data))
+			var decoded packet.Handoff
+			Expect(packet.DecodeHandoff(g.Handoff, &decoded)).To(Succeed())
+			Expect(decoded).To(Equal(handoff))
+		}
+	})
+
+	It("has no option without a hand-off", func() {
+		encoded := packet.AppendGeneve(nil, 5, nil)
+		Expect(encoded).To(HaveLen(packet.HeaderLen))
+		var g packet.Geneve
+		Expect(packet.DecodeGeneve(append(encoded, inner...), &g)).To(Succeed())
+		Expect(g.Handoff).To(BeNil())
+		Expect(g.Inner).To(Equal(inner))
+	})
+
+	withOption := func(option layers.GeneveOption) []byte {
+		g := layers.Geneve{Protocol: layers.EthernetTypeIPv4, Options: []*layers.GeneveOption{&option}}
+		return serialize(&g, gopacket.Payload(inner))
+	}
+
+	It("skips an unknown option", func() {
+		var g packet.Geneve
+		Expect(packet.DecodeGeneve(withOption(layers.GeneveOption{Class: 1, Type: 2, Data: make([]byte, 8)}), &g)).To(Succeed())
+		Expect(g.Inner).To(Equal(inner))
+	})
+
+	// Guards against forwarding what the sender says must not be forwarded unread, and reading past the options.
+	DescribeTable("refuses malformed headers with the reason",
+		func(damage func(b []byte) []byte, want packet.Error) {
+			b := damage(withOption(layers.GeneveOption{Class: 1, Type: 2, Data: make([]byte, 4)}))
+			Expect(packet.DecodeGeneve(b, &packet.Geneve{})).To(Equal(want))
+		},
+		Entry("short", func(b []byte) []byte { return b[:7] }, packet.ErrTruncated),
+		Entry("options cut off", func(b []byte) []byte { return b[:15] }, packet.ErrTruncated),
+		Entry("version 1", func(b []byte) []byte { b[0] |= 0x40; return b }, packet.ErrGeneveVersion),
+		Entry("control packet", func(b []byte) []byte { b[1] = 0x80; return b }, packet.ErrControl),
+		Entry("Ethernet payload", func(b []byte) []byte { b[2] = 0x65; return b }, packet.ErrGeneveType),
+		Entry("option too long", func(b []byte) []byte { b[11] = 2; return b }, packet.ErrGeneveOption),
+		Entry("critical option", func(b []byte) []byte { b[10] |= 0x80; return b }, packet.ErrCritical),
+	)
+
+	// Guards against a hand-off without the record that its receiver must write before it forwards.
+	DescribeTable("refuses malformed hand-offs",
+		func(damage func(b []byte) []byte) {
+			handoff := packet.Handoff{Kind: packet.NewFlowRecord, HasRecord: true}
+			b := damage(packet.AppendGeneve(nil, 0, &handoff)[packet.HeaderLen+4:])
+			Expect(packet.DecodeHandoff(b, &packet.Handoff{})).To(Equal(packet.ErrHandoff))
+		},
+		Entry("short", func(b []byte) []byte { return b[:23] }),
+		Entry("record cut off", func(b []byte) []byte { return b[:32] }),
+		Entry("record missing", func(b []byte) []byte { b[3] = 0; return b }),
+		Entry("record not expected", func(b []byte) []byte { b[0] = byte(packet.MidFlow); return b }),
+		Entry("unknown kind", func(b []byte) []byte { b[0] = 9; return b }),
+		Entry("name cut off", func(b []byte) []byte { b[2] = 4; return b }),
+		Entry("name too long", func(b []byte) []byte { b[2] = 64; return append(b, make([]byte, 64)...) }),
+	)
+
+	It("refuses a host name that does not fit", func() {
+		_, err := packet.NewHostName(strings.Repeat("h", packet.MaxHostName+1))
+		Expect(err).To(Equal(packet.ErrNameLength))
+	})
+})
--- /dev/null
+++ b/internal/packet/rewrite.go
@@ -0,0 +1,115 @@
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"cassiawood/internal/document"
+)
+
+// Offsets of addresses and ports in the IPv4 and transport headers.
+const (
+	srcAddrOffset = 12
+	dstAddrOffset = 16
+	srcPortOffset = 0
+	dstPortOffset = 2
+)
+
+// RewriteDst replaces the destination of p, which Parse has read into h, and
+// updates h. It serves the direction from caller to backend server.
+func RewriteDst(p []byte, h *Headers, to netip.AddrPort) error {
+	if err := rewrite(p, h, dstAddrOffset, dstPortOffset, to); err != nil {
+		return err
+	}
+	h.Dst = to
+	return nil
+}
+
+// RewriteSrc replaces the source of p, which Parse has read into h, and updates
+// h. It serves the direction from backend server to caller.
+func RewriteSrc(p []byte, h *Headers, to netip.AddrPort) error {
+	if err := rewrite(p, h, srcAddrOffset, srcPortOffset, to); err != nil {
+		return err
+	}
+	h.Src = to
+	return nil
+}
+
+func rewrite(p []byte, h *Headers, addrOffset, portOffset int, to netip.AddrPort) error {
+	if !to.Addr().Is4() {
+		return ErrAddress
+	}
+	if len(p) < h.TotalLen || h.TotalLen == 0 {
+		return ErrTruncated
+	}
+	newAddr := to.Addr().As4()
+	addr := p[addrOffset : addrOffset+4]
+	port := p[h.transport+portOffset : h.transport+portOffset+2]
+
+	// The sum of ~m + m' over the changed 16-bit words m (RFC 1624, equation 3).
+	delta := negatedSum4(addr) + sum4(newAddr[:])
+	update(p[10:12], delta)
+	delta += uint32(^binary.BigEndian.Uint16(port)) + uint32(to.Port())
+	updateTransport(p[h.transport:], h.Protocol, delta)
+
+	copy(addr, newAddr[:])
+	binary.BigEndian.PutUint16(port, to.Port())
+	return nil
+}
+
+func updateTransport(segment []byte, protocol document.Protocol, delta uint32) {
+	if protocol == document.TCP {
+		update(segment[16:18], delta)
+		return
+	}
+	checksum := segment[6:8]
+	if binary.BigEndian.Uint16(checksum) == 0 {
+		return // the sender computed no checksum (RFC 768)
+	}
+	update(checksum, delta)
+	if binary.BigEndian.Uint16(checksum) == 0 {
+		binary.BigEndian.PutUint16(checksum, 0xffff) // 0 would mean "no checksum"
+	}
+}
+
+// update applies RFC 1624, equation 3: HC' = ~(~HC + ~m + m').
+func update(checksum []byte, delta uint32) {
+	old := binary.BigEndian.Uint16(checksum)
+	binary.BigEndian.PutUint16(checksum, ^fold(uint32(^old)+delta))
+}
+
+func sum4(b []byte) uint32 {
+	return uint32(binary.BigEndian.Uint16(b[0:2])) + uint32(binary.BigEndian.Uint16(b[2:4]))
+}
+
+func negatedSum4(b []byte) uint32 {
+	return uint32(^binary.BigEndian.Uint16(b[0:2])) + uint32(^binary.BigEndian.Uint16(b[2:4]))
+}
+
+// sum adds the 16-bit words of b (RFC 1071). A packet has at most 32768 words,
+// so the sum fits in 32 bits.
+func sum(b []byte) uint32 {
+	var s uint32
+	for len(b) >= 2 {
+		s += uint32(b[0])<<8 | uint32(b[1])
+		b = b[2:]
+	}
+	if len(b) == 1 {
+		s += uint32(b[0]) << 8
+	}
+	return s
+}
+
+func fold(s uint32) uint16 {
+	for s > 0xffff {
+		s = s>>16 + s&0xffff
+	}
+	return uint16(s)
+}
+
+// transportChecksum computes the TCP or UDP checksum of segment in full; the
+// checksum field of segment must be zero.
+func transportChecksum(src, dst [4]byte, protocol document.Protocol, segment []byte) uint16 {
+	pseudo := sum4(src[:]) + sum4(dst[:]) + uint32(protocol) + uint32(len(segment))
+	return ^fold(pseudo + sum(segment))
+}
