Carry the failure domains asked and the record's home in a hand-off

Cause: the flow engine names failure domains by hash and returns the time of the question with a hint; a bitmask over the sorted domains would mean different domains on hosts with different tables. Change: the option lists up to 8 domain hashes, the ingress host's hash, the time of the question and the record's home; the message kind is dropped.

--- a/internal/packet/handoff.go
+++ b/internal/packet/handoff.go
@@ -2,147 +2,108 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"cassiawood/internal/directory"
 )
 
-// Kind says what the receiver of a handed-off packet is asked to do
-// (docs/design.md, section 5.2).
-type Kind uint8
-
-const (
-	// NewFlow asks the first holder to place a new flow and write its record (rule 2).
-	NewFlow Kind = iota + 1
-	// NewFlowRecord asks the second holder to write the record and forward the packet (rule 2).
-	NewFlowRecord
-	// MidFlow asks a holder to forward a packet of a flow that the ingress host does not know (rule 4).
-	MidFlow
-)
-
-// MaxHostName is the longest host name that a hand-off carries, in bytes. With it
+// MaxAsked is the number of failure domains that a hand-off can list. With it
 // the option stays below the 124 bytes that RFC 8926 allows.
-const MaxHostName = 63
+const MaxAsked = 8
 
-// HostName is the name of an entry host as a comparable value, so that decoding
-// it allocates nothing and it can be the key of a map.
-type HostName struct {
-	length uint8
-	bytes  [MaxHostName]byte
-}
-
-// NewHostName returns name as a HostName, or ErrNameLength.
-func NewHostName(name string) (HostName, error) {
-	if len(name) > MaxHostName {
-		return HostName{}, ErrNameLength
-	}
-	n := HostName{length: uint8(len(name))}
-	copy(n.bytes[:], name)
-	return n, nil
-}
-
-// String returns the name.
-func (n HostName) String() string { return string(n.bytes[:n.length]) }
-
-// Record is the flow record that travels with the first packet of a flow. State
-// is a flow record's state, which this package passes on unread.
+// Record is the flow record that travels with the first packet of a flow. The
+// inner packet names the flow; State is passed on unread.
 type Record struct {
 	Endpoint        directory.EndpointID
 	State           uint8
 	InitialSequence uint32
+	Home            uint32 // failure domain whose holders keep the record
 }
 
-// Handoff accompanies a packet that one entry host forwards to another.
+// Handoff accompanies a packet that one entry host forwards to another. Names
+// are carried as hashes, which the receiver compares with those it knows.
 type Handoff struct {
-	Kind      Kind
-	Hops      uint8  // hand-offs so far; a receiver drops a packet above its limit
-	Service   uint64 // ServiceHash of the service name
+	Hops      uint8 // hand-offs so far; a receiver drops a packet above its limit
+	AskedLen  uint8
+	Asked     [MaxAsked]uint32 // failure domains asked so far
+	Service   uint64           // NameHash of the service
+	Ingress   uint64           // NameHash of the host that took the packet from the fabric
+	AskedAt   time.Duration    // clock of the ingress host
 	Bucket    uint32
-	Asked     uint64 // failure domains asked so far, one bit each in the directory's sorted order
-	Ingress   HostName
 	HasRecord bool
 	Record    Record // valid if HasRecord
 }
 
-// ServiceHash returns the number that stands for a service name in a hand-off.
-// The receiver compares it with the service it finds for the inner packet.
-func ServiceHash(name string) uint64 { return xxhash.Sum64String(name) }
+// NameHash returns the number that stands for the name of a service or host.
+func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
-// The option data are: kind, hops, length of the name, flags (bit 0: record
-// follows), service (8), bucket (4), asked (8), record (9, only with the flag),
-// name, zeros up to a multiple of 4.
+// The option data are: hops, number of domains asked, flags (bit 0: record
+// follows), record state; bucket (4), service (8), ingress (8), asked at (8), the domains (4
+// each), and the rest of the record (12).
 const (
-	handoffFixedLen = 24
-	recordLen       = 9
-	handoffMaxLen   = (handoffFixedLen + recordLen + MaxHostName + 3) / 4 * 4
+	handoffFixedLen = 32
+	askedLen        = 4
+	recordLen       = 12
+	handoffMaxLen   = handoffFixedLen + MaxAsked*askedLen + recordLen
 	hasRecordFlag   = 1
 )
 
 func (h *Handoff) append(dst []byte) []byte {
-	start := len(dst)
-	flags := byte(0)
+	flags, state := byte(0), byte(0)
 	if h.HasRecord {
-		flags = hasRecordFlag
+		flags, state = hasRecordFlag, h.Record.State
 	}
-	dst = append(dst, byte(h.Kind), h.Hops, h.Ingress.length, flags)
-	dst = binary.BigEndian.AppendUint64(dst, h.Service)
+	dst = append(dst, h.Hops, h.AskedLen, flags, state)
 	dst = binary.BigEndian.AppendUint32(dst, h.Bucket)
-	dst = binary.BigEndian.AppendUint64(dst, h.Asked)
+	dst = binary.BigEndian.AppendUint64(dst, h.Service)
+	dst = binary.BigEndian.AppendUint64(dst, h.Ingress)
+	dst = binary.BigEndian.AppendUint64(dst, uint64(h.AskedAt))
+	for _, domain := range h.Asked[:h.AskedLen] {
+		dst = binary.BigEndian.AppendUint32(dst, domain)
+	}
 	if h.HasRecord {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(h.Record.Endpoint))
-		dst = append(dst, h.Record.State)
 		dst = binary.BigEndian.AppendUint32(dst, h.Record.InitialSequence)
-	}
-	dst = append(dst, h.Ingress.bytes[:h.Ingress.length]...)
-	for (len(dst)-start)%4 != 0 {
-		dst = append(dst, 0)
+		dst = binary.BigEndian.AppendUint32(dst, h.Record.Home)
 	}
 	return dst
 }
 
 // DecodeHandoff reads the option data b into h, or returns ErrHandoff.
 func DecodeHandoff(b []byte, h *Handoff) error {
-	if len(b) < handoffFixedLen {
+	if len(b) < handoffFixedLen || b[1] > MaxAsked || b[2]&^hasRecordFlag != 0 {
 		return ErrHandoff
 	}
 	*h = Handoff{
-		Kind:      Kind(b[0]),
-		Hops:      b[1],
-		Service:   binary.BigEndian.Uint64(b[4:12]),
-		Bucket:    binary.BigEndian.Uint32(b[12:16]),
-		Asked:     binary.BigEndian.Uint64(b[16:24]),
-		HasRecord: b[3]&hasRecordFlag != 0,
+		Hops:      b[0],
+		AskedLen:  b[1],
+		HasRecord: b[2] == hasRecordFlag,
+		Bucket:    binary.BigEndian.Uint32(b[4:8]),
+		Service:   binary.BigEndian.Uint64(b[8:16]),
+		Ingress:   binary.BigEndian.Uint64(b[16:24]),
+		AskedAt:   time.Duration(binary.BigEndian.Uint64(b[24:32])),
+	}
+	want := handoffFixedLen + int(h.AskedLen)*askedLen
+	if h.HasRecord {
+		want += recordLen
+	}
+	if len(b) != want || (!h.HasRecord && b[3] != 0) {
+		return ErrHandoff
 	}
-	nameLen := int(b[2])
 	rest := b[handoffFixedLen:]
+	for i := range h.AskedLen {
+		h.Asked[i] = binary.BigEndian.Uint32(rest)
+		rest = rest[askedLen:]
+	}
 	if h.HasRecord {
-		if len(rest) < recordLen {
-			return ErrHandoff
-		}
 		h.Record = Record{
 			Endpoint:        directory.EndpointID(binary.BigEndian.Uint32(rest[0:4])),
-			State:           rest[4],
-			InitialSequence: binary.BigEndian.Uint32(rest[5:9]),
+			State:           b[3],
+			InitialSequence: binary.BigEndian.Uint32(rest[4:8]),
+			Home:            binary.BigEndian.Uint32(rest[8:12]),
 		}
-		rest = rest[recordLen:]
-	}
-	if nameLen > MaxHostName || nameLen > len(rest) || !h.isConsistent() {
-		return ErrHandoff
 	}
-	h.Ingress.length = uint8(nameLen)
-	copy(h.Ingress.bytes[:], rest[:nameLen])
 	return nil
 }
-
-// isConsistent reports whether the kind is known and has a record exactly if it needs one.
-func (h *Handoff) isConsistent() bool {
-	switch h.Kind {
-	case NewFlow, MidFlow:
-		return !h.HasRecord
-	case NewFlowRecord:
-		return h.HasRecord
-	default:
-		return false
-	}
-}
--- a/internal/packet/headers.go
+++ b/internal/packet/headers.go
@@ -32,11 +32,10 @@
 	ErrControl                        // control packet (O bit), which carries no data
 	ErrHandoff                        // malformed hand-off option
 	ErrAddress                        // rewrite to an address that is not IPv4
-	ErrNameLength                     // host name longer than a hand-off can carry
 )
 
 // ErrorCount is one more than the highest Error, for arrays of counters.
-const ErrorCount = int(ErrNameLength) + 1
+const ErrorCount = int(ErrAddress) + 1
 
 var errorTexts = [ErrorCount]string{
 	ErrTruncated:     "packet is truncated",
@@ -55,7 +54,6 @@
 	ErrControl:       "Geneve control packet",
 	ErrHandoff:       "hand-off option is malformed",
 	ErrAddress:       "address is not IPv4",
-	ErrNameLength:    "host name is too long for a hand-off",
 }
 
 // Error returns the reason in words.
