--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,79 @@
+package announce_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/announce"
+	"cassiawood/internal/directory"
+)
+
+func TestAnnounce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "announce")
+}
+
+type submitter struct {
+	got []announce.Announcement
+	err error
+}
+
+func (s *submitter) Submit(_ context.Context, a announce.Announcement) error {
+	s.got = append(s.got, a)
+	return s.err
+}
+
+const valid = `{"instance":"i1","service":"order-desk","address":"10.30.0.1","port":8443,"failure_domain":"a",
+"slots":2,"state":"ready","lease_seconds":6}`
+
+func post(s *submitter, text string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest("POST", "/v1/announce", strings.NewReader(text))
+	r.Header.Set("Authorization", "Bearer secret")
+	announce.Handler(s).ServeHTTP(w, r)
+	return w
+}
+
+var _ = Describe("Handler", func() {
+	It("passes a valid announcement on", func() {
+		s := &submitter{}
+		Expect(post(s, valid).Code).To(Equal(204))
+		Expect(s.got).To(HaveLen(1))
+		Expect(s.got[0].Endpoint.State).To(Equal(directory.Ready))
+		Expect(s.got[0].Token).To(Equal("secret"))
+	})
+
+	// Guards against a backend server that believes it is announced when it is not.
+	DescribeTable("tells the outcome", func(err error, code int) {
+		Expect(post(&submitter{err: err}, valid).Code).To(Equal(code))
+	},
+		Entry("refused", &announce.RefusedError{Reason: "token is wrong"}, 403),
+		Entry("no leader", errors.New("no control host answered"), 503),
+	)
+
+	// Guards against reporting only the first of several problems, and against passing bad values on.
+	It("reports all findings", func() {
+		s := &submitter{}
+		w := post(s, `{"instance":"","service":"s","address":"::1","port":0,"failure_domain":"a","slots":0,
+"state":"fine","lease_seconds":600,"health_url":"file:///etc"}`)
+		Expect(w.Code).To(Equal(400))
+		for _, name := range []string{"instance", "address", "port", "slots", "state", "lease_seconds", "health_url"} {
+			Expect(w.Body.String()).To(ContainSubstring(name + ":"))
+		}
+		Expect(s.got).To(BeEmpty())
+	})
+})
+
+// FuzzHandler guards against a panic on a malformed announcement.
+func FuzzHandler(f *testing.F) {
+	for _, seed := range []string{valid, "", "{}", `{"lease_seconds":1e300}`, `{"port":-1}`} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(_ *testing.T, text string) { post(&submitter{}, text) })
+}
