Add the replicated directory state machine

Cause: the directory had types only. Change: State with Apply and allocation-free reads: document changes with stored answers, endpoints with tombstones, two-step bucket moves, address quarantine, hosts and rendezvous holders. EndpointSuspected is a new command, since a suspicion must reach every host at the same index. A bucket whose base expires settles in two steps as well: a host that has not applied the expiry would reset the unrecorded flows of a bucket that others see as settled.

--- /dev/null
+++ b/internal/directory/document.go
@@ -0,0 +1,208 @@
+package directory
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"cassiawood/internal/document"
+)
+
+// Section is an accepted section of the document.
+type Section struct {
+	document.Section
+	Author   string
+	ChangeID string
+	Services []document.Service
+}
+
+// PendingChange is a prepared change that waits for its decision.
+type PendingChange struct {
+	ChangePrepared
+	Index uint64        // of the entry that prepared it
+	At    time.Duration // log time of that entry
+}
+
+// Winner is the accepted change that made another one too late.
+type Winner struct {
+	Author  string
+	Team    string
+	Version uint64
+	Text    string
+}
+
+// Answer is the decision on a change. It is kept, so that a resend gets the same one.
+type Answer struct {
+	ChangeID string
+	Accepted bool
+	Version  uint64 // of the section after an accepted change
+	Reason   string // why it was refused
+	Winner   *Winner
+}
+
+// Sections returns the accepted sections in the order of their headings.
+func (s *State) Sections() []Section {
+	sections := make([]Section, 0, len(s.sections))
+	for _, heading := range sortedKeys(s.sections) {
+		sections = append(sections, *s.sections[heading])
+	}
+	return sections
+}
+
+// Section returns an accepted section.
+func (s *State) Section(heading string) (*Section, bool) {
+	section, ok := s.sections[heading]
+	return section, ok
+}
+
+// Change returns the answer to a change, or nil while it waits for its
+// decision. known is false for a change that is neither pending nor answered.
+func (s *State) Change(changeID string) (answer *Answer, known bool) {
+	if answer, ok := s.answers[changeID]; ok {
+		return answer, true
+	}
+	return nil, s.pendingIndex(changeID) >= 0
+}
+
+// PendingChanges returns the changes that wait for a decision, oldest first.
+// The caller must not modify the slice.
+func (s *State) PendingChanges() []PendingChange { return s.pending }
+
+func (s *State) pendingIndex(changeID string) int {
+	return slices.IndexFunc(s.pending, func(p PendingChange) bool { return p.ChangeID == changeID })
+}
+
+func (s *State) prepareChange(c ChangePrepared) Outcome {
+	if c.ChangeID == "" || c.Section == "" || c.Team == "" {
+		return refuse("change %q lacks an id, section or team", c.ChangeID)
+	}
+	if answer, known := s.Change(c.ChangeID); known {
+		if answer == nil {
+			return Outcome{Applied: true}
+		}
+		return answer.outcome()
+	}
+	if len(s.pending) >= maxPending {
+		return refuse("%d changes wait for a decision already", len(s.pending))
+	}
+	if answer := s.check(c); answer != nil {
+		return s.answer(answer)
+	}
+	s.pending = append(s.pending, PendingChange{ChangePrepared: c, Index: s.index, At: s.now})
+	return Outcome{Applied: true}
+}
+
+func (s *State) decideChange(c ChangeDecided) Outcome {
+	i := s.pendingIndex(c.ChangeID)
+	if i < 0 {
+		answer, known := s.answers[c.ChangeID]
+		if !known {
+			return refuse("no change %q waits for a decision", c.ChangeID)
+		}
+		return answer.outcome()
+	}
+	change := s.pending[i]
+	s.pending = slices.Delete(slices.Clone(s.pending), i, i+1)
+	if !c.Accepted {
+		return s.answer(&Answer{ChangeID: c.ChangeID, Reason: c.Reason})
+	}
+	// An accepted change refuses the pending ones that conflict with it, so this
+	// check fails only when a quarantine began after the preparation.
+	if answer := s.check(change.ChangePrepared); answer != nil {
+		return s.answer(answer)
+	}
+	version := change.BaseVersion + 1
+	s.accept(change.ChangePrepared, version)
+	out := s.answer(&Answer{ChangeID: c.ChangeID, Accepted: true, Version: version})
+	s.recheckPending()
+	return out
+}
+
+// recheckPending refuses the changes that the last accepted one made impossible.
+func (s *State) recheckPending() {
+	var still []PendingChange
+	for _, p := range s.pending {
+		if answer := s.check(p.ChangePrepared); answer != nil {
+			s.answer(answer)
+			continue
+		}
+		still = append(still, p)
+	}
+	s.pending = still
+}
+
+// answer stores the answer to a change and forgets the oldest beyond the bound.
+func (s *State) answer(a *Answer) Outcome {
+	s.answers[a.ChangeID] = a
+	s.order = append(s.order, a.ChangeID)
+	if len(s.order) > maxAnswers {
+		delete(s.answers, s.order[0])
+		s.order = s.order[1:]
+	}
+	return a.outcome()
+}
+
+func (a *Answer) outcome() Outcome {
+	return Outcome{Applied: a.Accepted, Reason: a.Reason, Answer: a}
+}
+
+// accept puts a checked change into force.
+func (s *State) accept(c ChangePrepared, version uint64) {
+	var before []document.Service
+	if old, ok := s.sections[c.Section]; ok {
+		before = old.Services
+	}
+	s.sections[c.Section] = &Section{
+		Section:  document.Section{Heading: c.Section, Team: c.Team, Text: c.Text, Version: version},
+		Author:   c.Author,
+		ChangeID: c.ChangeID,
+		Services: c.Services,
+	}
+	for _, old := range before {
+		if !slices.ContainsFunc(c.Services, func(n document.Service) bool { return keyOf(n) == keyOf(old) && n.Name == old.Name }) {
+			s.release(old)
+		}
+	}
+	for _, service := range c.Services {
+		s.install(service, c.Section)
+	}
+	s.nameServices()
+}
+
+func keyOf(service document.Service) addressKey {
+	return addressKey{service.Address, service.Protocol}
+}
+
+// install adds a service or gives it new properties.
+func (s *State) install(service document.Service, section string) {
+	state := &ServiceState{Service: service, Section: section}
+	if old, known := s.services[service.Name]; known {
+		state.table = old.table
+	} else {
+		state.table = newTable(service.Name, s.buckets)
+	}
+	s.unquarantine(keyOf(service))
+	s.services[service.Name] = state
+	s.byAddr[keyOf(service)] = state
+}
+
+// nameServices rebuilds the index of announced names.
+func (s *State) nameServices() {
+	clear(s.byName)
+	for name, service := range s.services {
+		if !service.Quarantined {
+			s.byName[announcedName(service.Service)] = name
+		}
+	}
+}
+
+// announcedName returns the name that a service's backend servers announce.
+func announcedName(service document.Service) string {
+	if service.AnnouncedAs == "" {
+		return service.Name
+	}
+	return service.AnnouncedAs
+}
+
+// validAddress reports whether callers can reach a service at its address.
+func validAddress(address netip.AddrPort) bool { return address.IsValid() && address.Port() != 0 }
--- /dev/null
+++ b/internal/directory/document_test.go
@@ -0,0 +1,130 @@
+package directory_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+)
+
+var _ = Describe("document changes", func() {
+	prepare := func(l *log, id, team, section string, base uint64, services ...document.Service) directory.Outcome {
+		return l.apply(directory.ChangePrepared{ChangeID: id, Team: team, Author: "author of " + id, Section: section, BaseVersion: base, Text: "text of " + id, Services: services})
+	}
+
+	// Guards against a lost update between two operators, and against a loser who is not told why.
+	DescribeTable("exactly one of two equal versions wins",
+		func(prepareBoth bool) {
+			l := newLog()
+			prepare(l, "one", "red", "Desk", 0, service("desk", 1))
+			if prepareBoth {
+				Expect(prepare(l, "two", "red", "Desk", 0, service("other", 2)).Applied).To(BeTrue())
+			}
+			Expect(l.apply(directory.ChangeDecided{ChangeID: "one", Accepted: true}).Applied).To(BeTrue())
+			if !prepareBoth {
+				prepare(l, "two", "red", "Desk", 0, service("other", 2))
+			}
+			Expect(l.state.PendingChanges()).To(BeEmpty())
+			out := l.apply(directory.ChangeDecided{ChangeID: "two", Accepted: true})
+			Expect(out.Applied).To(BeFalse())
+			Expect(out.Answer.Winner).To(Equal(&directory.Winner{Author: "author of one", Team: "red", Version: 1, Text: "text of one"}))
+			Expect(l.state.Services()).To(Equal([]string{"desk"}))
+		},
+		Entry("prepared before the decision", true), Entry("prepared after the decision", false),
+	)
+
+	// Guards against a change that is in force before every failure domain has confirmed it.
+	It("puts a change into force only when it is accepted", func() {
+		l := newLog()
+		prepare(l, "one", "red", "Desk", 0, service("desk", 1))
+		Expect(l.state.Sections()).To(BeEmpty())
+		answer, known := l.state.Change("one")
+		Expect(known).To(BeTrue())
+		Expect(answer).To(BeNil())
+		l.apply(directory.ChangeDecided{ChangeID: "one", Reason: "zone-3 did not confirm"})
+		Expect(l.state.Sections()).To(BeEmpty())
+		answer, _ = l.state.Change("one")
+		Expect(answer.Reason).To(Equal("zone-3 did not confirm"))
+	})
+
+	// Guards against a resend that makes a change twice or gets another answer.
+	It("gives a resend the first answer", func() {
+		l := newLog()
+		l.accept("Desk", 0, service("desk", 1))
+		first := prepare(l, "late", "team-Desk", "Desk", 0)
+		l.accept("Desk", 1, service("desk", 1))
+		resent := prepare(l, "late", "team-Desk", "Desk", 2)
+		Expect(resent.Answer).To(Equal(first.Answer))
+		Expect(l.state.PendingChanges()).To(BeEmpty())
+	})
+
+	// Guards against a state that grows with every change ever made.
+	It("keeps the last 10,000 answers", func() {
+		l := newLog()
+		for i := range 10_001 {
+			prepare(l, fmt.Sprint(i), "red", "Desk", 7)
+		}
+		_, known := l.state.Change("0")
+		Expect(known).To(BeFalse())
+		_, known = l.state.Change("1")
+		Expect(known).To(BeTrue())
+	})
+
+	// Guards against one team taking over another's section, service, address or backend servers.
+	DescribeTable("refuses what another section owns and applies nothing of it",
+		func(team, section string, taken document.Service, reasons ...string) {
+			l := newLog()
+			l.accept("Desk", 0, service("desk", 1))
+			out := prepare(l, "x", team, section, map[string]uint64{"Desk": 1}[section], service("new", 9), taken)
+			for _, reason := range reasons {
+				Expect(out.Answer.Reason).To(ContainSubstring(reason))
+			}
+			Expect(l.apply(directory.ChangeDecided{ChangeID: "x", Accepted: true}).Applied).To(BeFalse())
+			Expect(l.state.Services()).To(Equal([]string{"desk"}))
+			Expect(l.state.Sections()).To(HaveLen(1))
+		},
+		Entry("section", "red", "Desk", service("more", 8), `"Desk"`, "team-Desk", "red"),
+		Entry("service", "red", "Print", service("desk", 8), `"Desk"`, `"Print"`, "team-Desk", "red"),
+		Entry("address", "red", "Print", service("more", 1), `"Desk"`, `"Print"`, "team-Desk", "red", "10.0.0.1:80"),
+		Entry("announced name", "red", "Print", document.Service{Name: "more", AnnouncedAs: "desk", Address: service("", 8).Address}, `"Desk"`, `"Print"`),
+	)
+
+	// Guards against an old flow's packet that reaches the next service on the address.
+	It("keeps a released address in quarantine", func() {
+		l := withEndpoints(2)
+		Expect(l.accept("desk", 1).Applied).To(BeTrue())
+		old := service("desk", 1)
+		kept, ok := l.state.ServiceByAddress(old.Address, old.Protocol)
+		Expect(ok).To(BeTrue())
+		Expect(kept.Quarantined).To(BeTrue())
+		Expect(kept.Bucket(0).Current).NotTo(BeZero())
+		Expect(l.accept("Print", 0, service("print", 1)).Reason).To(ContainSubstring("reserved"))
+		l.at += directory.QuarantineTime
+		Expect(l.accept("Print", 0, service("print", 1)).Applied).To(BeTrue())
+		Expect(l.state.Services()).To(Equal([]string{"print"}))
+		Expect(l.state.Endpoints()).To(BeEmpty())
+	})
+
+	// Guards against old flows that lose their endpoint when their service moves to another address.
+	It("keeps the table of a service that changes its address", func() {
+		l := withEndpoints(2)
+		before := l.buckets("desk")
+		Expect(l.accept("desk", 1, service("desk", 2)).Applied).To(BeTrue())
+		Expect(l.buckets("desk")).To(Equal(before))
+		old, ok := l.state.ServiceByAddress(service("", 1).Address, document.TCP)
+		Expect(ok).To(BeTrue())
+		Expect(old.Quarantined).To(BeTrue())
+		Expect(old.Bucket(5)).To(Equal(before[5]))
+		now, _ := l.state.Service("desk")
+		Expect(now.Quarantined).To(BeFalse())
+		l.at += directory.QuarantineTime + time.Second
+		l.apply(nil)
+		_, ok = l.state.ServiceByAddress(service("", 1).Address, document.TCP)
+		Expect(ok).To(BeFalse())
+		Expect(l.buckets("desk")).To(Equal(before))
+	})
+})
--- /dev/null
+++ b/internal/directory/endpoints.go
@@ -0,0 +1,152 @@
+package directory
+
+import "slices"
+
+func (s *State) addEndpoint(e Endpoint) Outcome {
+	service, ok := s.ServiceAnnouncedAs(e.Service)
+	if !ok {
+		return refuse("no service is announced as %q", e.Service)
+	}
+	if _, known := s.byInstance[e.Instance]; known {
+		return refuse("instance %q is already known", e.Instance)
+	}
+	if !e.Address.IsValid() || e.Instance == "" || e.Domain == "" {
+		return refuse("endpoint %q lacks an instance, address or failure domain", e.Instance)
+	}
+	if e.State >= Removed {
+		return refuse("instance %q cannot be added in state %d", e.Instance, e.State)
+	}
+	// A new instance on an address proves that the process before it has ended.
+	for _, id := range s.byEndpoint[e.Address] {
+		if old := s.endpoints[id]; old.State != Removed {
+			s.entomb(old)
+		}
+	}
+	s.lastID++
+	e.ID, e.Service, e.Suspected, e.RemovedAt = s.lastID, service.Name, false, 0
+	s.endpoints[e.ID] = &e
+	s.byInstance[e.Instance] = e.ID
+	s.byEndpoint[e.Address] = slices.Insert(s.byEndpoint[e.Address], 0, e.ID)
+	service.table.members = append(service.table.members, e.ID)
+	s.rebalance(service.table)
+	return Outcome{Applied: true, Endpoint: e.ID}
+}
+
+func (s *State) changeEndpointState(c EndpointStateChanged) Outcome {
+	e, ok := s.EndpointByInstance(c.Instance)
+	if !ok {
+		return refuse("no instance %q", c.Instance)
+	}
+	if c.State <= e.State || c.State >= Removed {
+		return refuse("instance %q cannot go from state %d to %d", c.Instance, e.State, c.State)
+	}
+	e.State = c.State
+	if e.State != Ready {
+		e.Suspected = false
+	}
+	s.rebalance(s.services[e.Service].table)
+	return Outcome{Applied: true, Endpoint: e.ID}
+}
+
+func (s *State) removeInstance(instance string) Outcome {
+	e, ok := s.EndpointByInstance(instance)
+	if !ok || e.State == Removed {
+		return refuse("no instance %q", instance)
+	}
+	s.entomb(e)
+	s.rebalance(s.services[e.Service].table)
+	return Outcome{Applied: true, Endpoint: e.ID}
+}
+
+// entomb turns an endpoint into a tombstone. The caller rebalances its service.
+func (s *State) entomb(e *Endpoint) {
+	e.State, e.Suspected, e.RemovedAt = Removed, false, s.now
+	s.tombstones = append(s.tombstones, e.ID)
+	t := s.services[e.Service].table
+	t.members = slices.DeleteFunc(t.members, func(id EndpointID) bool { return id == e.ID })
+}
+
+func (s *State) suspectEndpoint(c EndpointSuspected) Outcome {
+	e, ok := s.EndpointByInstance(c.Instance)
+	if !ok || e.State != Ready {
+		return refuse("no ready instance %q", c.Instance)
+	}
+	t := s.services[e.Service].table
+	if c.Suspected && !e.Suspected {
+		suspected, ready := s.countSuspected(t)
+		if suspected+1 > SuspectLimit(ready) {
+			return refuse("%d of %d endpoints of %s are suspected already", suspected, ready, e.Service)
+		}
+	}
+	e.Suspected = c.Suspected
+	s.rebalance(t)
+	return Outcome{Applied: true, Endpoint: e.ID}
+}
+
+// SuspectLimit returns how many of a service's ready endpoints may be suspected
+// at once. Faulty probes must not take a whole service out of use.
+func SuspectLimit(ready int) int { return ready / 3 }
+
+func (s *State) countSuspected(t *table) (suspected, ready int) {
+	for _, id := range t.members {
+		e := s.endpoints[id]
+		if e.State == Ready {
+			ready++
+		}
+		if e.Suspected {
+			suspected++
+		}
+	}
+	return suspected, ready
+}
+
+// limitSuspicion clears suspicions that exceed the limit after a ready endpoint
+// has left, those of the oldest endpoints first.
+func (s *State) limitSuspicion(t *table) {
+	suspected, ready := s.countSuspected(t)
+	for _, id := range t.members {
+		if suspected <= SuspectLimit(ready) {
+			return
+		}
+		if e := s.endpoints[id]; e.Suspected {
+			e.Suspected = false
+			suspected--
+		}
+	}
+}
+
+// accepts reports whether new flows may be placed on e. The holders of an
+// endpoint's records are in its failure domain, so a domain out of service gets none.
+func (s *State) accepts(e *Endpoint) bool {
+	return e.State.AcceptsFlows() && !e.Suspected && !s.domains[e.Domain]
+}
+
+// Accepts reports whether new flows may be placed on an endpoint.
+func (s *State) Accepts(id EndpointID) bool {
+	e, ok := s.endpoints[id]
+	return ok && s.accepts(e)
+}
+
+func (s *State) expireTombstones() {
+	for len(s.tombstones) > 0 {
+		e := s.endpoints[s.tombstones[0]]
+		if s.now-e.RemovedAt < TombstoneTime {
+			return
+		}
+		s.tombstones = s.tombstones[1:]
+		s.forget(e)
+		s.dropFromTable(s.services[e.Service].table, e.ID)
+	}
+}
+
+// forget removes an endpoint from all indexes.
+func (s *State) forget(e *Endpoint) {
+	delete(s.endpoints, e.ID)
+	delete(s.byInstance, e.Instance)
+	ids := slices.DeleteFunc(slices.Clone(s.byEndpoint[e.Address]), func(id EndpointID) bool { return id == e.ID })
+	if len(ids) == 0 {
+		delete(s.byEndpoint, e.Address)
+		return
+	}
+	s.byEndpoint[e.Address] = ids
+}
--- /dev/null
+++ b/internal/directory/hosts.go
@@ -0,0 +1,163 @@
+package directory
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rankedHost is an active host with the hash of its name.
+type rankedHost struct {
+	name   string
+	domain string
+	hash   uint64
+}
+
+func (s *State) addHost(h Host) Outcome {
+	if h.Name == "" || h.Domain == "" {
+		return refuse("host %q lacks a name or failure domain", h.Name)
+	}
+	if old, ok := s.hosts[h.Name]; ok && old.Incarnation >= h.Incarnation {
+		return refuse("host %q is already present as incarnation %d", h.Name, old.Incarnation)
+	}
+	h.State = HostJoined
+	s.hosts[h.Name] = &h
+	if _, known := s.domains[h.Domain]; !known {
+		s.domains[h.Domain] = false
+	}
+	s.rankHosts()
+	return Outcome{Applied: true}
+}
+
+func (s *State) activateHost(c HostActivated) Outcome {
+	h, ok := s.hosts[c.Name]
+	if !ok || h.Incarnation != c.Incarnation {
+		return refuse("no host %q with incarnation %d", c.Name, c.Incarnation)
+	}
+	h.State = HostActive
+	s.rankHosts()
+	return Outcome{Applied: true}
+}
+
+func (s *State) removeHost(c HostRemoved) Outcome {
+	h, ok := s.hosts[c.Name]
+	if !ok || h.Incarnation != c.Incarnation {
+		return refuse("no host %q with incarnation %d", c.Name, c.Incarnation)
+	}
+	delete(s.hosts, c.Name)
+	s.rankHosts()
+	return Outcome{Applied: true}
+}
+
+func (s *State) setDomainService(c DomainService) Outcome {
+	if _, known := s.domains[c.Domain]; !known {
+		return refuse("no host has announced failure domain %q", c.Domain)
+	}
+	s.domains[c.Domain] = c.Out
+	for _, name := range sortedKeys(s.services) {
+		s.rebalance(s.services[name].table)
+	}
+	return Outcome{Applied: true}
+}
+
+// rankHosts rebuilds the lists of active hosts that Holders reads.
+func (s *State) rankHosts() {
+	s.active = s.active[:0]
+	clear(s.byDomain)
+	for _, name := range sortedKeys(s.hosts) {
+		h := s.hosts[name]
+		if h.State != HostActive {
+			continue
+		}
+		ranked := rankedHost{name: h.Name, domain: h.Domain, hash: xxhash.Sum64String(h.Name)}
+		s.active = append(s.active, ranked)
+		s.byDomain[h.Domain] = append(s.byDomain[h.Domain], ranked)
+	}
+}
+
+// Hosts returns all entry hosts in the order of their names.
+func (s *State) Hosts() []Host {
+	hosts := make([]Host, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		hosts = append(hosts, *h)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
+
+// Host returns an entry host by its name.
+func (s *State) Host(name string) (*Host, bool) {
+	h, ok := s.hosts[name]
+	return h, ok
+}
+
+// DomainsInService returns the failure domains that must confirm a change, in
+// order. A domain stays listed after its hosts are gone, until an operator
+// declares it out of service; otherwise a cut-off domain would not be asked.
+func (s *State) DomainsInService() []string {
+	return slices.DeleteFunc(sortedKeys(s.domains), func(d string) bool { return s.domains[d] })
+}
+
+// DomainOut reports whether a failure domain is declared out of service.
+func (s *State) DomainOut(domain string) bool { return s.domains[domain] }
+
+// Holders returns the hosts that hold the records of a bucket's flows on an
+// endpoint; second is empty when only one host is active. ok is false when no
+// host is active or the service or endpoint is unknown. An endpoint whose
+// failure domain has no active host is held by hosts of the others.
+func (s *State) Holders(service string, bucket int, endpoint EndpointID) (first, second string, ok bool) {
+	e, known := s.endpoints[endpoint]
+	svc, found := s.services[service]
+	if !known || !found || len(s.active) == 0 || bucket < 0 || bucket >= svc.table.size() {
+		return "", "", false
+	}
+	seed := svc.table.hash
+	first, runnerUp := topTwo(s.byDomain[e.Domain], seed, bucket, "")
+	if first == "" {
+		first, second = topTwo(s.active, seed, bucket, "")
+		return first, second, true
+	}
+	current, present := s.endpoints[svc.table.current[bucket]]
+	if present && current.Domain != e.Domain {
+		second, _ = topTwo(s.byDomain[current.Domain], seed, bucket, "")
+	}
+	if second == "" {
+		second = runnerUp
+	}
+	if second == "" {
+		second, _ = topTwo(s.active, seed, bucket, e.Domain)
+	}
+	return first, second, true
+}
+
+// topTwo returns the two hosts with the highest rendezvous hashes outside the
+// excluded failure domain; empty names stand for none.
+func topTwo(hosts []rankedHost, seed uint64, bucket int, exclude string) (first, second string) {
+	var high, next uint64
+	for i := range hosts {
+		h := &hosts[i]
+		if exclude != "" && h.domain == exclude {
+			continue
+		}
+		score := rendezvous(seed, bucket, h.hash)
+		switch {
+		case first == "" || score > high:
+			second, next = first, high
+			first, high = h.name, score
+		case second == "" || score > next:
+			second, next = h.name, score
+		}
+	}
+	return first, second
+}
+
+// rendezvous returns the rank of a candidate for a bucket of a service.
+func rendezvous(service uint64, bucket int, candidate uint64) uint64 {
+	var key [24]byte
+	binary.LittleEndian.PutUint64(key[0:], service)
+	binary.LittleEndian.PutUint64(key[8:], uint64(bucket))
+	binary.LittleEndian.PutUint64(key[16:], candidate)
+	return xxhash.Sum64(key[:])
+}
--- /dev/null
+++ b/internal/directory/quarantine.go
@@ -0,0 +1,57 @@
+package directory
+
+import (
+	"slices"
+
+	"cassiawood/internal/document"
+)
+
+// release puts the address of a service into quarantine. A service that has no
+// other address stays readable under its name for the time of the quarantine.
+func (s *State) release(service document.Service) {
+	state, ok := s.services[service.Name]
+	if !ok {
+		return
+	}
+	quarantined := &ServiceState{
+		Service:     service,
+		Section:     state.Section,
+		Quarantined: true,
+		ReleasedAt:  s.now,
+		table:       state.table,
+	}
+	s.byAddr[keyOf(service)] = quarantined
+	s.quarantine = append(s.quarantine, quarantined)
+	s.services[service.Name] = quarantined // install replaces it when the service has a new address
+}
+
+// unquarantine takes an address back into use by its service.
+func (s *State) unquarantine(key addressKey) {
+	s.quarantine = slices.DeleteFunc(s.quarantine, func(q *ServiceState) bool { return keyOf(q.Service) == key })
+}
+
+// expireQuarantine frees addresses, and forgets services that have none left.
+func (s *State) expireQuarantine() {
+	for len(s.quarantine) > 0 {
+		state := s.quarantine[0]
+		if s.now-state.ReleasedAt < QuarantineTime {
+			return
+		}
+		s.quarantine = s.quarantine[1:]
+		delete(s.byAddr, keyOf(state.Service))
+		if s.services[state.Name] == state {
+			s.forgetService(state)
+		}
+	}
+}
+
+// forgetService removes a service whose quarantine is over, with its endpoints.
+func (s *State) forgetService(state *ServiceState) {
+	delete(s.services, state.Name)
+	for _, id := range sortedKeys(s.endpoints) {
+		if e := s.endpoints[id]; e.Service == state.Name {
+			s.forget(e)
+		}
+	}
+	s.tombstones = slices.DeleteFunc(s.tombstones, func(id EndpointID) bool { return s.endpoints[id] == nil })
+}
--- /dev/null
+++ b/internal/directory/table_test.go
@@ -0,0 +1,192 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cassiawood/internal/directory"
+)
+
+var _ = Describe("bucket table", func() {
+	// Guards against a flow that a host without the last entry sends to the old endpoint.
+	It("moves a bucket in two steps", func() {
+		l := withEndpoints(2)
+		before := l.buckets("desk")
+		l.apply(directory.EndpointStateChanged{Instance: "desk-1", State: directory.Draining})
+		for i, b := range l.buckets("desk") {
+			Expect(b.Current).To(Equal(before[i].Current))
+			if b.Current == 1 {
+				Expect(b).To(Equal(directory.Bucket{Current: 1, Base: 1, Next: 2}))
+			}
+		}
+		l.commit()
+		for i, b := range l.buckets("desk") {
+			Expect(b.Current).To(BeEquivalentTo(2))
+			if before[i].Current == 1 {
+				Expect(b).To(Equal(directory.Bucket{Current: 2, Base: 1, Since: []directory.EndpointID{2}}))
+			}
+		}
+	})
+
+	// Guards against a commit that counts acknowledgements of an earlier preparation.
+	It("commits no move that was prepared after the acknowledged index", func() {
+		l := withEndpoints(3)
+		l.apply(directory.EndpointStateChanged{Instance: "desk-1", State: directory.Draining})
+		acknowledged := l.index
+		l.apply(directory.EndpointStateChanged{Instance: "desk-2", State: directory.Leaving})
+		before := l.buckets("desk")
+		l.apply(directory.MovesCommitted{UpTo: acknowledged})
+		committed := 0
+		for i, b := range l.buckets("desk") {
+			// The second preparation has buckets of desk-2 and those that were on their way to it.
+			if before[i].Next == 3 && b.Next == 0 {
+				committed++
+			}
+		}
+		Expect(committed).To(BeNumerically("~", 1024/6, 1))
+		index, ok := l.state.PendingMoves()
+		Expect(ok).To(BeTrue())
+		Expect(index).To(Equal(acknowledged + 1))
+	})
+
+	// Guards against a bucket that needs records for ever, and against one that
+	// settles before every host knows that the base is gone.
+	It("settles a bucket in two steps after the tombstone of its base", func() {
+		l := withEndpoints(2)
+		l.apply(directory.EndpointRemoved{Instance: "desk-1"})
+		l.commit()
+		l.at += directory.TombstoneTime - 3*time.Millisecond
+		l.apply(nil)
+		Expect(l.buckets("desk")).To(ContainElement(directory.Bucket{Current: 2, Base: 1, Since: []directory.EndpointID{2}}))
+		l.apply(nil)
+		Expect(l.buckets("desk")).To(ContainElement(directory.Bucket{Current: 2, Since: []directory.EndpointID{2}}))
+		l.commit()
+		Expect(l.buckets("desk")).To(HaveEach(directory.Bucket{Current: 2, Base: 2}))
+		_, ok := l.state.Endpoint(1)
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against flows on an endpoint that is not ready.
+	It("gives a starting endpoint no bucket", func() {
+		l := withEndpoints(2)
+		l.apply(directory.EndpointAdded{Endpoint: endpoint("desk", 9, "zone-1", directory.Starting)})
+		Expect(owned(l.buckets("desk"))).NotTo(HaveKey(directory.EndpointID(3)))
+		l.apply(directory.EndpointStateChanged{Instance: "desk-9", State: directory.Ready})
+		Expect(owned(l.buckets("desk"))).To(HaveKeyWithValue(directory.EndpointID(3), BeNumerically("~", 341, 1)))
+	})
+
+	// Guards against a change that moves, and so needs records for, more buckets than it must.
+	DescribeTable("moves near 1/n of the buckets",
+		func(n int) {
+			l := withEndpoints(n)
+			l.apply(directory.EndpointStateChanged{Instance: "desk-1", State: directory.Draining})
+			Expect(l.prepared()).To(BeNumerically("~", 1024/n, 1))
+			l.commit()
+			l.apply(directory.EndpointAdded{Endpoint: endpoint("desk", n+1, "zone-1", directory.Ready)})
+			Expect(l.prepared()).To(BeNumerically("~", 1024/n, 1))
+		},
+		Entry("4", 4), Entry("15", 15), Entry("200", 200),
+	)
+
+	// Guards against a load move that the next change of the endpoints undoes.
+	It("keeps what BucketsMoved has moved", func() {
+		l := withEndpoints(4)
+		Expect(l.apply(directory.BucketsMoved{Service: "desk", From: 1, To: 2, Count: 100}).Applied).To(BeTrue())
+		l.commit()
+		l.apply(directory.EndpointStateChanged{Instance: "desk-4", State: directory.Draining})
+		Expect(owned(l.buckets("desk"))[2]).To(BeNumerically(">=", 356))
+		Expect(l.apply(directory.BucketsMoved{Service: "desk", From: 1, To: 4, Count: 1}).Reason).To(ContainSubstring("takes no new flows"))
+	})
+})
+
+// prepared counts the buckets with a prepared move.
+func (l *log) prepared() int {
+	count := 0
+	for _, b := range l.buckets("desk") {
+		if b.Next != 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// randomCommand draws a command about one service and a few hosts.
+func randomCommand(t *rapid.T, l *log) directory.Command {
+	n := rapid.IntRange(1, 9).Draw(t, "endpoint")
+	instance := fmt.Sprintf("desk-%d", n)
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0, 1:
+		state := directory.EndpointState(rapid.IntRange(0, 3).Draw(t, "state"))
+		e := endpoint("desk", n, fmt.Sprintf("zone-%d", n%3), state)
+		e.Instance = fmt.Sprintf("desk-%d", rapid.IntRange(1, 99).Draw(t, "instance"))
+		return directory.EndpointAdded{Endpoint: e}
+	case 2, 3:
+		return directory.EndpointStateChanged{Instance: instance, State: directory.EndpointState(rapid.IntRange(0, 4).Draw(t, "state"))}
+	case 4:
+		return directory.EndpointRemoved{Instance: instance}
+	case 5:
+		return directory.EndpointSuspected{Instance: instance, Suspected: rapid.Bool().Draw(t, "suspected")}
+	case 6:
+		l.at += time.Duration(rapid.IntRange(0, 30).Draw(t, "hours")) * time.Hour
+		return nil
+	case 7:
+		return directory.DomainService{Domain: fmt.Sprintf("zone-%d", n%3), Out: rapid.Bool().Draw(t, "out")}
+	case 8:
+		return directory.BucketsMoved{Service: "desk", From: directory.EndpointID(n), To: directory.EndpointID(n%9 + 1), Count: 10}
+	default:
+		return directory.MovesCommitted{UpTo: l.index - uint64(rapid.IntRange(0, 3).Draw(t, "lag"))}
+	}
+}
+
+// startRandom returns a log with one service and three failure domains.
+func startRandom() *log {
+	l := &log{state: directory.NewWithBuckets(64)}
+	l.accept("desk", 0, service("desk", 1))
+	for i := range 3 {
+		l.apply(directory.HostAdded{Host: directory.Host{Name: fmt.Sprintf("host-%d", i), Incarnation: 1, Domain: fmt.Sprintf("zone-%d", i)}})
+	}
+	return l
+}
+
+// Guards against a move without its prepared step, against a bucket without an
+// endpoint while one accepts flows, and against tombstones as new targets.
+func TestTableKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := startRandom()
+		for range rapid.IntRange(1, 60).Draw(t, "entries") {
+			before := l.buckets("desk")
+			out := l.apply(randomCommand(t, l))
+			checkStep(t, l, out, before, l.buckets("desk"))
+		}
+	})
+}
+
+func checkStep(t *rapid.T, l *log, out directory.Outcome, before, after []directory.Bucket) {
+	available := false
+	for _, id := range l.state.Endpoints() {
+		available = available || l.state.Accepts(id)
+	}
+	for i, b := range after {
+		_, known := l.state.Endpoint(b.Current)
+		if b.Current != before[i].Current && b.Current != 0 && b.Current != before[i].Next {
+			t.Fatalf("%d: bucket %d went from %+v to %+v without a prepared step", out.Index, i, before[i], b)
+		}
+		if b.Current != 0 && !known {
+			t.Fatalf("%d: bucket %d is on the forgotten endpoint %d", out.Index, i, b.Current)
+		}
+		if before[i].Settled() && b.Settled() && b.Current != before[i].Current && b.Current != 0 {
+			t.Fatalf("%d: bucket %d went from settled %+v to settled %+v", out.Index, i, before[i], b)
+		}
+		if b.Next != 0 && !l.state.Accepts(b.Next) {
+			t.Fatalf("%d: bucket %d moves to endpoint %d, which takes no flows", out.Index, i, b.Next)
+		}
+		if available && !l.state.Accepts(b.Current) && b.Next == 0 {
+			t.Fatalf("%d: bucket %d stays without an accepting endpoint: %+v", out.Index, i, b)
+		}
+	}
+}
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -41,6 +41,7 @@
 	State     EndpointState
 	HealthURL string
 	LoadURL   string
+	Suspected bool          // probes fail; keeps its flows and gets no new ones
 	RemovedAt time.Duration // log time of the removal; 0 while present
 }
 
@@ -56,7 +57,7 @@
 // Host is one incarnation of an entry host.
 type Host struct {
 	Name        string
-	Incarnation uint64 // differs after each start of the process
+	Incarnation uint64 // grows with each start of the process
 	Domain      string
 	PacketAddr  netip.AddrPort // Geneve
 	PeerAddr    netip.AddrPort // yamux
@@ -118,6 +119,12 @@
 // EndpointRemoved turns an instance into a tombstone.
 type EndpointRemoved struct{ Instance string }
 
+// EndpointSuspected sets or clears the suspicion that an instance is unhealthy.
+type EndpointSuspected struct {
+	Instance  string
+	Suspected bool
+}
+
 // HostAdded adds an incarnation of an entry host, replacing an earlier one.
 type HostAdded struct{ Host Host }
 
@@ -156,6 +163,7 @@
 func (EndpointAdded) isCommand()        {}
 func (EndpointStateChanged) isCommand() {}
 func (EndpointRemoved) isCommand()      {}
+func (EndpointSuspected) isCommand()    {}
 func (HostAdded) isCommand()            {}
 func (HostActivated) isCommand()        {}
 func (HostRemoved) isCommand()          {}
