Add the flow engine: resolution, holders, copies and fences

The entry process needs a pure engine that resolves packets to backend servers. Detection of silent flows is still a stub.

--- /dev/null
+++ b/internal/flow/copies.go
@@ -0,0 +1,177 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rankOf orders hosts for one hash.
+func rankOf(host string, hash uint64) uint64 {
+	x := (xxhash.Sum64String(host) ^ hash) * 0x9e3779b97f4a7c15
+	return x ^ x>>32
+}
+
+// requestCopies asks the former holders for the records of incomplete holdings. One
+// request per source is open at a time; it is repeated while no answer comes.
+func (e *Engine) requestCopies() {
+	e.prunePending()
+	if len(e.pending) == 0 || (e.requested != 0 && e.now-e.requested < requestInterval) {
+		return
+	}
+	e.requested = e.now
+	asked := map[string][]HoldingRef{}
+	var order []string
+	for _, pos := range e.pending {
+		h := &e.holdings[pos]
+		for _, source := range h.waiting {
+			refs := asked[source]
+			if len(refs) == 0 {
+				order = append(order, source)
+			}
+			if len(refs) < requestWindow {
+				asked[source] = append(refs, h.ref())
+			}
+		}
+	}
+	for _, source := range order {
+		e.nextBatch++
+		e.send(Message{To: source, Batch: &RecordBatch{
+			ID: e.nextBatch, TableIndex: e.table.Index(), Request: true, Holdings: asked[source],
+		}})
+	}
+}
+
+// prunePending removes finished holdings and reports the end of a repair.
+func (e *Engine) prunePending() {
+	e.pending = slices.DeleteFunc(e.pending, func(pos uint32) bool {
+		h := &e.holdings[pos]
+		if h.key == (holdingKey{}) || !h.has(e.cfg.Host) {
+			return true
+		}
+		h.waiting = slices.DeleteFunc(h.waiting, func(s string) bool { return !e.isSource(s) })
+		e.finishIfAnswered(h)
+		return len(h.waiting) == 0
+	})
+	if len(e.pending) == 0 && !e.wasWhole {
+		e.wasWhole = true
+		e.out.RepairComplete = true
+	}
+}
+
+// Records handles a batch of another host: a request for copies, an answer to one, or
+// records that a host passes on without being asked.
+func (e *Engine) Records(now time.Duration, from string, b *RecordBatch) {
+	e.setNow(now)
+	if e.table == nil {
+		return
+	}
+	if b.Request {
+		// A host with an older table may still act as a holder of these records.
+		if e.table.Index() >= b.TableIndex {
+			e.answer(from, b)
+		}
+		return
+	}
+	if !e.storeAll(b) {
+		return
+	}
+	e.send(Message{To: from, Ack: &RecordAck{ID: b.ID}})
+	for _, ref := range b.Holdings {
+		e.answered(from, ref)
+	}
+	if len(b.Holdings) > 0 {
+		e.requested = 0
+		e.requestCopies()
+	}
+}
+
+// storeAll stores copies and says whether all found their place. Without an
+// acknowledgement the sender repeats the batch.
+func (e *Engine) storeAll(b *RecordBatch) bool {
+	for i := range b.Records {
+		r := &b.Records[i]
+		svc, ok := e.table.Service(r.Service, r.Protocol)
+		if !ok {
+			continue
+		}
+		key, ok := makeKey(r.Caller, r.Service, r.Protocol)
+		if !ok {
+			continue
+		}
+		pos := e.byKey[holdingKey{svc.Name, uint32(key.hash()) & uint32(svc.Buckets-1), r.Home}]
+		if !e.holds(pos) {
+			if len(b.Holdings) == 0 && e.table.Index() < b.TableIndex {
+				return false // the holding appears with the next table
+			}
+			continue
+		}
+		if _, ok := e.store(r, pos, false); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// answered notes that a source confirmed the present table for a holding.
+func (e *Engine) answered(from string, ref HoldingRef) {
+	pos := e.byKey[holdingKey{ref.Service, ref.Bucket, ref.Home}]
+	if pos == 0 {
+		return
+	}
+	h := &e.holdings[pos]
+	if !slices.Contains(h.waiting, from) {
+		return
+	}
+	if ref.Whole {
+		h.gained = true
+	} else if h.has(from) && !h.gained && !h.whole {
+		return // it is still completing its own copy and is asked again
+	}
+	h.waiting = slices.DeleteFunc(h.waiting, func(s string) bool { return s == from })
+	e.finishIfAnswered(h)
+}
+
+// answer sends the records of the requested holdings, whole holdings per batch.
+func (e *Engine) answer(to string, request *RecordBatch) {
+	batch := e.newBatch()
+	for _, ref := range request.Holdings {
+		pos := e.byKey[holdingKey{ref.Service, ref.Bucket, ref.Home}]
+		if pos == 0 {
+			ref.Whole = false
+			batch.Holdings = append(batch.Holdings, ref)
+			continue
+		}
+		h := &e.holdings[pos]
+		for at := h.head; at != 0; at = e.flows.at(at).next {
+			batch.Records = append(batch.Records, e.recordOf(e.flows.at(at)))
+		}
+		batch.Holdings = append(batch.Holdings, h.ref())
+		if len(batch.Records) >= batchRecords {
+			e.sendBatch(to, batch)
+			batch = e.newBatch()
+		}
+	}
+	if len(batch.Holdings) > 0 {
+		e.sendBatch(to, batch)
+	}
+}
+
+func (e *Engine) newBatch() *RecordBatch {
+	e.nextBatch++
+	return &RecordBatch{ID: e.nextBatch, TableIndex: e.table.Index()}
+}
+
+// sendBatch sends an answer and keeps account of what a handover still waits for.
+func (e *Engine) sendBatch(to string, b *RecordBatch) {
+	e.handover.sent(b.ID, to, b.Holdings)
+	e.send(Message{To: to, Batch: b})
+}
+
+// RecordAck notes that a peer stored a batch.
+func (e *Engine) RecordAck(now time.Duration, from string, ack RecordAck) {
+	e.setNow(now)
+	e.confirmHandover(from, ack.ID)
+	e.confirmEmbryos(from, ack.ID)
+}
--- /dev/null
+++ b/internal/flow/handover.go
@@ -0,0 +1,120 @@
+package flow
+
+import (
+	"time"
+)
+
+// handover follows the records that this host held before it stopped.
+type handover struct {
+	expected map[handoverKey]struct{} // holdings that a new holder has not confirmed
+	batches  map[uint64]handoverBatch
+	done     bool
+}
+
+type handoverKey struct {
+	to  string
+	key holdingKey
+}
+
+type handoverBatch struct {
+	to       string
+	holdings []HoldingRef
+}
+
+// Stop begins a graceful stop (rule 10). The caller has the host removed from the
+// directory; the new holders then copy from this one, which goes on forwarding.
+func (e *Engine) Stop(now time.Duration) {
+	e.setNow(now)
+	e.stopping = true
+	e.handover.expected = map[handoverKey]struct{}{}
+	e.handover.batches = map[uint64]handoverBatch{}
+}
+
+// Stopping says whether Stop was called.
+func (e *Engine) Stopping() bool { return e.stopping }
+
+// noteHandover lists what the new holders still have to confirm once the table no
+// longer names this host.
+func (e *Engine) noteHandover() {
+	if !e.stopping || e.table == nil {
+		return
+	}
+	for i := range e.holdings {
+		h := &e.holdings[i]
+		if h.count == 0 || h.has(e.cfg.Host) {
+			continue
+		}
+		for _, to := range []string{h.first, h.second} {
+			k := handoverKey{to, h.key}
+			if to == "" || h.confirmedBy(to) {
+				continue
+			}
+			e.handover.expected[k] = struct{}{}
+		}
+	}
+	for k := range e.handover.expected {
+		if !e.isSource(k.to) {
+			delete(e.handover.expected, k)
+		}
+	}
+}
+
+// sent notes which holdings a batch completes.
+func (ho *handover) sent(id uint64, to string, holdings []HoldingRef) {
+	if ho.batches != nil {
+		ho.batches[id] = handoverBatch{to, holdings}
+	}
+}
+
+// confirmHandover takes the holdings of an acknowledged batch off the list.
+func (e *Engine) confirmHandover(from string, id uint64) {
+	b, ok := e.handover.batches[id]
+	if !ok || b.to != from {
+		return
+	}
+	delete(e.handover.batches, id)
+	for _, ref := range b.holdings {
+		key := holdingKey{ref.Service, ref.Bucket, ref.Home}
+		if pos := e.byKey[key]; pos != 0 {
+			h := &e.holdings[pos]
+			h.confirmed = append(h.confirmed, from)
+		}
+		delete(e.handover.expected, handoverKey{from, key})
+	}
+}
+
+// tickHandover reports the end of the handover once this host holds nothing and
+// every new holder has confirmed its copy.
+func (e *Engine) tickHandover() {
+	if !e.stopping || e.handover.done || e.table == nil || len(e.handover.expected) > 0 {
+		return
+	}
+	for i := range e.holdings {
+		if h := &e.holdings[i]; h.present && h.has(e.cfg.Host) {
+			return
+		}
+	}
+	e.handover.done = true
+	e.out.HandoverComplete = true
+	for i := range e.holdings {
+		h := &e.holdings[i]
+		if h.present && h.first == "" {
+			e.out.FlowsLost += int(h.count)
+		}
+	}
+	for name, p := range e.peers {
+		if p.up {
+			e.send(Message{To: name, Done: &HandoverDone{Host: e.cfg.Host, Incarnation: e.cfg.Incarnation}})
+		}
+	}
+}
+
+// HandoverDone notes that a host has handed over everything and is about to exit.
+func (e *Engine) HandoverDone(now time.Duration, d HandoverDone) {
+	e.setNow(now)
+	if p := e.peers[d.Host]; p != nil && p.incarnation == d.Incarnation {
+		p.up = false
+		e.epoch++
+		e.dropSource(d.Host)
+	}
+}
--- /dev/null
+++ b/internal/flow/holders.go
@@ -0,0 +1,321 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"cassiawood/internal/directory"
+)
+
+const (
+	// retiredLife is how long a former holder keeps records for the new ones to copy.
+	retiredLife = 10 * time.Minute
+	// requestInterval is the time between requests for copies that are not answered.
+	requestInterval = 500 * time.Millisecond
+	// requestWindow bounds the holdings of one request, and so the burst of records.
+	requestWindow = 32
+	// batchRecords is the number of records after which a batch is sent.
+	batchRecords = 256
+)
+
+// holdingKey names a holding; see HoldingRef.
+type holdingKey struct {
+	service string
+	bucket  uint32
+	home    DomainID
+}
+
+// holding is the records of one bucket in one failure domain. Every host keeps the
+// holders of all holdings, to know where a new holder copies from.
+type holding struct {
+	key           holdingKey
+	first, second string
+	// waiting lists former holders that have not yet confirmed the present table. Until
+	// they have, one of them may still answer for records that it no longer gets, so
+	// that nothing may be placed with the new holders.
+	waiting []string
+	whole   bool // this host has every record
+	gained  bool // an answer was whole
+	present bool // in the present table
+	// confirmed lists new holders that acknowledged a copy from this former holder.
+	confirmed []string
+	lostAt    stamp
+	head      uint32 // records
+	count     uint32
+}
+
+func (h *holding) confirmedBy(host string) bool { return slices.Contains(h.confirmed, host) }
+
+func (h *holding) has(host string) bool { return h.first == host || h.second == host }
+
+// mayPlace says whether this host may add records. A holding that was lost waits
+// until retransmissions of the flows' first packets have ended.
+func (h *holding) mayPlace(now stamp) bool {
+	if len(h.waiting) > 0 {
+		return false
+	}
+	return h.whole || (h.lostAt != 0 && now.since(h.lostAt) > closedLife)
+}
+
+// holds says whether this host is a holder of the holding.
+func (e *Engine) holds(pos uint32) bool { return pos != 0 && e.holdings[pos].has(e.cfg.Host) }
+
+// link puts a record on the list of its holding.
+func (e *Engine) link(pos uint32, en *entry, holdingPos uint32) {
+	h := &e.holdings[holdingPos]
+	en.holding, en.next, en.prev = holdingPos, h.head, 0
+	if h.head != 0 {
+		e.flows.at(h.head).prev = pos
+	}
+	h.head = pos
+	h.count++
+}
+
+// unlink takes a record off the list of its holding.
+func (e *Engine) unlink(pos uint32) {
+	en := e.flows.at(pos)
+	if en.holding == 0 {
+		return
+	}
+	h := &e.holdings[en.holding]
+	if en.prev != 0 {
+		e.flows.at(en.prev).next = en.next
+	} else {
+		h.head = en.next
+	}
+	if en.next != 0 {
+		e.flows.at(en.next).prev = en.prev
+	}
+	h.count--
+	en.holding, en.next, en.prev = 0, 0, 0
+}
+
+// rescanHoldings compares the holders of the present table with those of the
+// last one that the engine saw.
+func (e *Engine) rescanHoldings() {
+	first := len(e.holdings) == 1
+	for i := range e.holdings {
+		e.holdings[i].present = false
+	}
+	for _, name := range e.table.Services() {
+		svc, ok := e.table.ServiceNamed(name)
+		if !ok {
+			continue
+		}
+		for number := range svc.Buckets {
+			b := e.table.Bucket(name, number)
+			if b == nil || (b.Settled() && !svc.BalanceFirst) {
+				continue
+			}
+			pl := e.planFor(svc, b)
+			for _, step := range pl.steps[:pl.length] {
+				e.rescan(svc, number, step, first)
+			}
+		}
+	}
+	e.dropAbsent()
+}
+
+// rescan notes the present holders of one holding.
+func (e *Engine) rescan(svc *Service, number int, step planStep, atStart bool) {
+	key := holdingKey{svc.Name, uint32(number), step.home}
+	first, second, ok := e.table.Holders(svc.Name, number, step.endpoint)
+	if !ok {
+		first, second = "", ""
+	}
+	pos, known := e.byKey[key]
+	if !known {
+		pos = uint32(len(e.holdings))
+		e.holdings = append(e.holdings, holding{key: key, whole: true})
+		e.byKey[key] = pos
+	}
+	h := &e.holdings[pos]
+	wasPresent := h.head != 0 || known
+	h.present = true
+	switch {
+	case !known && !atStart:
+		h.first, h.second = first, second
+	case !known:
+		e.startHolding(h, first, second)
+	case first != h.first || second != h.second:
+		e.changeHolders(pos, first, second)
+	case wasPresent && len(h.waiting) > 0:
+		h.waiting = slices.DeleteFunc(h.waiting, func(s string) bool { return !e.isSource(s) })
+		e.finishIfAnswered(h)
+	}
+}
+
+// startHolding sets up a holding that is older than this engine. As a holder of
+// it the host must copy the records from the other one.
+func (e *Engine) startHolding(h *holding, first, second string) {
+	h.first, h.second = first, second
+	me := e.cfg.Host
+	if !h.has(me) {
+		h.whole = false
+		return
+	}
+	other := first
+	if first == me {
+		other = second
+	}
+	h.whole = false
+	if other != "" {
+		h.waiting = []string{other}
+	}
+	e.await(e.byKey[h.key])
+}
+
+// changeHolders moves a holding to new holders. Former ones that remain in the
+// table, or can be reached, must confirm the new table first.
+func (e *Engine) changeHolders(pos uint32, first, second string) {
+	h := &e.holdings[pos]
+	me := e.cfg.Host
+	was := h.has(me)
+	sources := slices.Clone(h.waiting)
+	for _, s := range []string{h.first, h.second} {
+		if s != "" && !slices.Contains(sources, s) {
+			sources = append(sources, s)
+		}
+	}
+	h.first, h.second, h.confirmed = first, second, nil
+	e.epoch++
+	if !h.has(me) {
+		h.waiting = nil
+		return
+	}
+	if !was {
+		e.clearHolding(pos)
+		h.whole, h.gained = false, false
+	}
+	h.waiting = h.waiting[:0:0]
+	for _, s := range sources {
+		continuing := s == first || s == second
+		if s != me && e.isSource(s) && !(was && h.whole && continuing) {
+			h.waiting = append(h.waiting, s)
+		}
+	}
+	e.await(pos)
+}
+
+// isSource says whether a former holder can still answer or act.
+func (e *Engine) isSource(host string) bool {
+	if _, ok := e.listed[host]; ok {
+		return true
+	}
+	p := e.peers[host]
+	return p != nil && p.up
+}
+
+// clearHolding removes records from an earlier time as holder, which may be stale.
+func (e *Engine) clearHolding(pos uint32) {
+	for e.holdings[pos].head != 0 {
+		e.forget(e.holdings[pos].head)
+	}
+}
+
+// await puts a holding on the list of those that need answers.
+func (e *Engine) await(pos uint32) {
+	h := &e.holdings[pos]
+	if len(h.waiting) == 0 {
+		e.finishIfAnswered(h)
+		return
+	}
+	if !slices.Contains(e.pending, pos) {
+		e.pending = append(e.pending, pos)
+	}
+	e.wasWhole = false
+}
+
+// finishIfAnswered ends the wait of a holding once no source is left.
+func (e *Engine) finishIfAnswered(h *holding) {
+	if len(h.waiting) > 0 || h.whole || !h.has(e.cfg.Host) {
+		return
+	}
+	if h.gained {
+		h.whole = true
+		return
+	}
+	if h.lostAt == 0 {
+		h.lostAt = e.clock
+		e.out.HoldingsLost++
+	}
+}
+
+// dropAbsent forgets holdings of buckets that need no records any more. The records
+// of a bucket that was settled agree with its table.
+func (e *Engine) dropAbsent() {
+	for i := 1; i < len(e.holdings); i++ {
+		h := &e.holdings[i]
+		if h.present || h.key == (holdingKey{}) {
+			continue
+		}
+		e.clearHolding(uint32(i))
+		delete(e.byKey, h.key)
+		*h = holding{}
+	}
+	e.pending = slices.DeleteFunc(e.pending, func(pos uint32) bool {
+		return len(e.holdings[pos].waiting) == 0
+	})
+}
+
+// dropSource stops waiting for a host that is neither listed nor reachable.
+func (e *Engine) dropSource(host string) {
+	if e.isSource(host) {
+		return
+	}
+	for _, pos := range e.pending {
+		h := &e.holdings[pos]
+		h.waiting = slices.DeleteFunc(h.waiting, func(s string) bool { return s == host })
+		e.finishIfAnswered(h)
+	}
+}
+
+// refOf returns the name of a holding in messages.
+func (h *holding) ref() HoldingRef {
+	return HoldingRef{Service: h.key.service, Bucket: h.key.bucket, Home: h.key.home, Whole: h.whole}
+}
+
+// recordOf returns the record of an entry.
+func (e *Engine) recordOf(en *entry) Record {
+	return Record{
+		Caller: en.key.caller(), Service: en.key.service(), Protocol: en.key[12], State: en.state,
+		Endpoint: en.endpoint, Sequence: en.sequence, Home: e.holdings[en.holding].key.home,
+	}
+}
+
+// store writes a record. overwrite is false for copies, because a record that came
+// with a packet is newer than any copy.
+func (e *Engine) store(r *Record, pos uint32, overwrite bool) (*entry, bool) {
+	key, ok := makeKey(r.Caller, r.Service, r.Protocol)
+	if !ok {
+		return nil, false
+	}
+	hash := key.hash()
+	entryPos, en := e.flows.find(&key, hash)
+	switch {
+	case en == nil:
+		entryPos, en = e.add(&key, hash)
+		if en == nil {
+			return nil, false
+		}
+	case en.kind == entryRecord && !overwrite && e.holds(en.holding):
+		return en, true
+	default:
+		e.unlink(entryPos)
+	}
+	if en.kind != entryRecord || en.sequence != r.Sequence || en.endpoint != r.Endpoint {
+		en.flags, en.mark, en.callerPackets, en.callerSince, en.began = 0, 0, 0, 0, e.clock
+	}
+	en.kind, en.endpoint, en.sequence, en.state = entryRecord, r.Endpoint, r.Sequence, r.State
+	e.link(entryPos, en, pos)
+	return en, true
+}
+
+// endpointDomain returns the failure domain of an endpoint as in hand-offs.
+func (e *Engine) endpointDomain(id directory.EndpointID) (DomainID, bool) {
+	ep, ok := e.table.Endpoint(id)
+	if !ok {
+		return 0, false
+	}
+	return e.domainID(ep.Domain), true
+}
--- /dev/null
+++ b/internal/flow/observe.go
@@ -0,0 +1,62 @@
+package flow
+
+import "cassiawood/internal/directory"
+
+// observe returns the entry of a flow of a settled bucket, which serves only the
+// detection of silent flows; the table decides where the flow goes.
+func (e *Engine) observe(q *query, id directory.EndpointID) *entry {
+	_, en := e.flows.find(&q.key, q.hash)
+	if en == nil {
+		if q.p.Direction == FromBackend && q.p.Flags&RST != 0 {
+			return nil
+		}
+		if _, en = e.add(&q.key, q.hash); en == nil {
+			return nil
+		}
+		en.kind = entryObserved
+		en.endpoint = id
+	}
+	if en.kind == entryHint {
+		en.kind = entryObserved
+	}
+	if en.kind == entryObserved && (en.endpoint != id || (q.isFirst() && en.sequence != q.p.Sequence)) {
+		en.endpoint, en.began, en.callerPackets, en.callerSince, en.fromBackend = id, e.clock, 0, 0, 0
+	}
+	return en
+}
+
+// touchCaller notes a packet from the caller.
+func (e *Engine) touchCaller(q *query, en *entry) {
+	en.fromCaller = e.clock
+	if q.p.Protocol != ProtocolTCP {
+		return
+	}
+	if q.isFirst() {
+		if en.kind != entryRecord {
+			en.sequence = q.p.Sequence
+		}
+		en.flags |= flagSYN
+		e.embryos.note(en)
+	}
+	if q.p.Flags&ACK != 0 {
+		en.ack = q.p.Ack
+	}
+	// Pure acknowledgements, and so idle flows with keepalive from the backend server,
+	// expect no answer.
+	if q.p.PayloadLen == 0 && q.p.Flags&(SYN|FIN) == 0 {
+		return
+	}
+	if en.callerPackets == 0 {
+		en.callerSince = e.clock
+	}
+	if en.callerPackets < 1<<16-1 {
+		en.callerPackets++
+	}
+}
+
+// touchBackend notes a packet from the backend server, which ends a silence.
+func (e *Engine) touchBackend(q *query, en *entry) {
+	en.fromBackend = e.clock
+	en.callerPackets, en.callerSince = 0, 0
+	e.silent.noteAnswer(en, e.clock)
+}
--- /dev/null
+++ b/internal/flow/place.go
@@ -0,0 +1,167 @@
+package flow
+
+import (
+	"time"
+
+	"cassiawood/internal/directory"
+)
+
+// place begins a flow at a holder that may add records (rule 2): it writes the
+// record and passes packet and record to the other holder, which forwards.
+func (e *Engine) place(q *query, held uint32) Verdict {
+	id, r := e.choose(q)
+	if r != NoReason {
+		return e.refuse(r)
+	}
+	if id == 0 {
+		// All flows of a balance-first service have records, so that this one was never sent.
+		return Verdict{Action: Reset, Outcome: NotRun, Reason: ReasonNoEndpoint}
+	}
+	record := Record{
+		Caller: q.key.caller(), Service: q.key.service(), Protocol: q.p.Protocol, State: Sent,
+		Endpoint: id, Sequence: q.p.Sequence, Home: e.holdings[held].key.home,
+	}
+	en, ok := e.store(&record, held, true)
+	if !ok {
+		return drop(ReasonFull)
+	}
+	return e.passRecord(q, en)
+}
+
+// choose picks the endpoint of a new flow.
+func (e *Engine) choose(q *query) (directory.EndpointID, Reason) {
+	if !q.svc.BalanceFirst || e.cfg.Choose == nil {
+		id := q.bucket.Current
+		return id, e.refusal(q, id)
+	}
+	if q.svc.Quarantined {
+		return 0, ReasonQuarantined
+	}
+	var candidates []directory.EndpointID
+	for _, id := range e.table.EndpointsOf(q.svc.Name) {
+		if e.refusal(q, id) == NoReason {
+			candidates = append(candidates, id)
+		}
+	}
+	if len(candidates) == 0 {
+		return 0, NoReason
+	}
+	return e.cfg.Choose(q.svc.Name, candidates), NoReason
+}
+
+// passRecord hands the first packet of a recorded flow to the other holder together
+// with the record, or forwards it if the table names no other holder. A holder
+// that is only unreachable is not skipped: it would later deny the record.
+func (e *Engine) passRecord(q *query, en *entry) Verdict {
+	h := &e.holdings[en.holding]
+	other := h.second
+	if other == e.cfg.Host {
+		other = h.first
+	}
+	if other == "" || other == e.cfg.Host {
+		return e.deliver(q, en.endpoint, en)
+	}
+	if !q.h.Present {
+		q.h = Handoff{
+			Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
+		}
+	}
+	q.h.HasRecord, q.h.Record = true, e.recordOf(en)
+	return e.handOff(q, other)
+}
+
+// repeatFirst resolves the first packet of a flow whose record exists (rule 8).
+func (e *Engine) repeatFirst(q *query, pos uint32, en *entry) (Verdict, bool) {
+	ep, ok := e.table.Endpoint(en.endpoint)
+	gone := !ok || ep.State == directory.Removed
+	replaceable := gone || (en.mark != 0 && e.clock.since(en.mark) >= closedLife)
+	if q.p.Sequence == en.sequence || !replaceable {
+		if q.p.Sequence != en.sequence {
+			// The backend server may accept it, and the record must then outlive the old flow.
+			en.sequence, en.flags, en.mark = q.p.Sequence, 0, 0
+		}
+		q.h = q.p.Handoff
+		return e.passRecord(q, en), true
+	}
+	e.forget(pos)
+	return Verdict{}, false
+}
+
+// takeRecord stores the record that came with a first packet and forwards the packet.
+// A host that is no holder in its own table decides anew, since the record
+// would not be found there.
+func (e *Engine) takeRecord(q *query) (Verdict, bool) {
+	r := &q.p.Handoff.Record
+	if r.Service != q.svc.Address || r.Caller != q.p.Caller || r.Protocol != q.p.Protocol {
+		return drop(ReasonServiceChanged), true
+	}
+	pos := e.byKey[holdingKey{q.svc.Name, uint32(q.number), r.Home}]
+	if !e.holds(pos) || (q.bucket.Settled() && !q.svc.BalanceFirst) {
+		return Verdict{}, false
+	}
+	if e.contradicts(q, r, pos) {
+		return drop(ReasonNoHolder), true
+	}
+	en, ok := e.store(r, pos, true)
+	if !ok {
+		return drop(ReasonFull), true
+	}
+	return e.deliver(q, r.Endpoint, en), true
+}
+
+// contradicts says whether the first holder already has another record of the flow.
+// Copies of a first packet may reach both holders at once while the first one's copy
+// is completed; the first holder's placement then wins.
+func (e *Engine) contradicts(q *query, r *Record, held uint32) bool {
+	_, en := e.flows.find(&q.key, q.hash)
+	if en == nil || en.kind != entryRecord || e.holdings[held].first != e.cfg.Host || !e.holds(en.holding) {
+		return false
+	}
+	replaceable := en.mark != 0 && e.clock.since(en.mark) >= closedLife
+	return en.endpoint != r.Endpoint && (en.sequence == r.Sequence || !replaceable)
+}
+
+// hint tells the ingress host of a handed-off packet where its flow is. A closing
+// flow gets no hint, because its caller port may soon be used again.
+func (e *Engine) hint(q *query, en *entry) {
+	h := &q.p.Handoff
+	if !h.Present || h.Ingress == e.cfg.Host || closed(en) {
+		return
+	}
+	hint := Hint{Record: e.recordOf(en), AskedAt: h.AskedAt}
+	msgs := e.out.Messages
+	for i := len(msgs) - 1; i >= 0 && i >= len(msgs)-8; i-- {
+		if msgs[i].To == h.Ingress && len(msgs[i].Hints) > 0 && len(msgs[i].Hints) < batchRecords {
+			msgs[i].Hints = append(msgs[i].Hints, hint)
+			return
+		}
+	}
+	e.send(Message{To: h.Ingress, Hints: []Hint{hint}})
+}
+
+// Hint caches a holder's answer.
+func (e *Engine) Hint(now time.Duration, from string, hints []Hint) {
+	e.setNow(now)
+	for i := range hints {
+		h := &hints[i]
+		key, ok := makeKey(h.Record.Caller, h.Record.Service, h.Record.Protocol)
+		if !ok || e.now-h.AskedAt >= hintLife || h.AskedAt > e.now {
+			continue
+		}
+		if p := e.peers[from]; p != nil && !p.up {
+			continue
+		}
+		hash := key.hash()
+		_, en := e.flows.find(&key, hash)
+		if en == nil {
+			if _, en = e.add(&key, hash); en == nil {
+				continue
+			}
+		}
+		if en.kind == entryRecord {
+			continue
+		}
+		en.kind, en.endpoint, en.sequence = entryHint, h.Record.Endpoint, h.Record.Sequence
+		en.mark, en.epoch = stampOf(h.AskedAt), e.epoch
+	}
+}
--- /dev/null
+++ b/internal/flow/resolve.go
@@ -0,0 +1,430 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"cassiawood/internal/directory"
+)
+
+// planStep is a failure domain whose holders may have a record, with an endpoint
+// of the bucket that lies in it.
+type planStep struct {
+	endpoint directory.EndpointID
+	home     DomainID
+}
+
+// plan lists the failure domains to ask, in the order of the question.
+type plan struct {
+	steps    [MaxAsked]planStep
+	length   int
+	overflow bool
+}
+
+func (pl *plan) add(e *Engine, id directory.EndpointID) {
+	if id == 0 {
+		return
+	}
+	home, ok := e.endpointDomain(id)
+	if !ok {
+		return
+	}
+	for i := range pl.length {
+		if pl.steps[i].home == home {
+			return
+		}
+	}
+	if pl.length == MaxAsked {
+		pl.overflow = true
+		return
+	}
+	pl.steps[pl.length] = planStep{id, home}
+	pl.length++
+}
+
+// planFor puts the target of a prepared move first: its holders keep the records of
+// the flows that begin while the move is prepared, so that the first packet of a
+// flow finds its record there when it is repeated after the move is committed.
+func (e *Engine) planFor(svc *Service, b *directory.Bucket) plan {
+	var pl plan
+	pl.add(e, b.Next)
+	if svc.BalanceFirst && b.Next == 0 {
+		pl.add(e, b.Current)
+	}
+	for _, id := range b.Since {
+		pl.add(e, id)
+	}
+	if svc.BalanceFirst {
+		pl.add(e, b.Current)
+		pl.add(e, b.Base)
+	}
+	return pl
+}
+
+// query is a packet with what was looked up for it.
+type query struct {
+	p      *Packet
+	svc    *Service
+	bucket *directory.Bucket
+	number int
+	key    flowKey
+	hash   uint64
+	h      Handoff // continues p.Handoff
+}
+
+// isFirst says whether the packet begins a flow.
+func (q *query) isFirst() bool {
+	return q.p.Direction == FromCaller && q.p.Protocol == ProtocolTCP && q.p.Flags&(SYN|ACK) == SYN
+}
+
+// needsFirstHolder says whether the first holder must see the packet, because it
+// begins or may end the flow.
+func (q *query) needsFirstHolder() bool {
+	return q.isFirst() || (q.p.Protocol == ProtocolTCP && q.p.Flags&(FIN|RST) != 0)
+}
+
+func drop(r Reason) Verdict { return Verdict{Action: Drop, Reason: r} }
+
+// Packet decides about one packet. It allocates nothing for a known flow.
+func (e *Engine) Packet(now time.Duration, p *Packet) Verdict {
+	e.setNow(now)
+	if e.table == nil {
+		return drop(ReasonNoTable)
+	}
+	q := query{p: p}
+	if r := e.lookUp(&q); r != NoReason {
+		return drop(r)
+	}
+	if p.Protocol == ProtocolTCP && p.Flags&SYN != 0 && p.Flags&(FIN|RST) != 0 {
+		return drop(ReasonMalformed)
+	}
+	if p.Handoff.Present {
+		if p.Handoff.Service != q.svc.Name {
+			return drop(ReasonServiceChanged)
+		}
+		if p.Handoff.Hops >= maxHops {
+			return drop(ReasonTooManyHops)
+		}
+		if p.Handoff.HasRecord {
+			if v, done := e.takeRecord(&q); done {
+				return v
+			}
+		}
+	}
+	if v, done := e.decideFenced(&q); done {
+		return v
+	}
+	if q.bucket.Settled() && !q.svc.BalanceFirst {
+		return e.resolveSettled(&q)
+	}
+	return e.resolveTracked(&q)
+}
+
+// lookUp finds the service, the flow key and the bucket of a packet.
+func (e *Engine) lookUp(q *query) Reason {
+	p := q.p
+	if p.Direction == FromCaller {
+		svc, ok := e.table.Service(p.Service, p.Protocol)
+		if !ok {
+			return ReasonNoService
+		}
+		q.svc = svc
+	} else if r := e.lookUpBackend(q); r != NoReason {
+		return r
+	}
+	var ok bool
+	if q.key, ok = makeKey(p.Caller, q.svc.Address, p.Protocol); !ok {
+		return ReasonMalformed
+	}
+	q.hash = q.key.hash()
+	q.number = int(q.hash & uint64(q.svc.Buckets-1))
+	q.bucket = e.table.Bucket(q.svc.Name, q.number)
+	if q.bucket == nil {
+		return ReasonNoEndpoint
+	}
+	return NoReason
+}
+
+// lookUpBackend finds the service of a response by its source. Only one endpoint at
+// an address can be present; earlier instances there are tombstones.
+func (e *Engine) lookUpBackend(q *query) Reason {
+	for _, id := range e.table.EndpointsAt(q.p.Backend) {
+		ep, ok := e.table.Endpoint(id)
+		if !ok || ep.State == directory.Removed {
+			continue
+		}
+		svc, ok := e.table.ServiceNamed(ep.Service)
+		if ok && svc.Protocol == q.p.Protocol {
+			q.svc = svc
+			return NoReason
+		}
+	}
+	return ReasonWrongEndpoint
+}
+
+// resolveSettled applies rules 1 and 3: every flow is on the current endpoint.
+func (e *Engine) resolveSettled(q *query) Verdict {
+	id := q.bucket.Current
+	if q.isFirst() {
+		if r := e.refusal(q, id); r != NoReason {
+			return e.refuse(r)
+		}
+	}
+	return e.deliver(q, id, e.observe(q, id))
+}
+
+// refusal says why a new flow may not go to an endpoint.
+func (e *Engine) refusal(q *query, id directory.EndpointID) Reason {
+	if q.svc.Quarantined {
+		return ReasonQuarantined
+	}
+	ep, ok := e.table.Endpoint(id)
+	if !ok {
+		return ReasonNoEndpoint
+	}
+	if !ep.State.AcceptsFlows() {
+		return ReasonNotAccepting
+	}
+	return e.fencedRefusal(ep)
+}
+
+// refuse ends a new flow. It never claims that nothing ran, because an earlier
+// copy of the packet may have passed through another host.
+func (e *Engine) refuse(r Reason) Verdict {
+	if r == ReasonQuarantined || r == ReasonNoEndpoint {
+		return Verdict{Action: Reset, Outcome: Unknown, Reason: r}
+	}
+	return drop(r)
+}
+
+// resolveTracked applies rules 2, 4 and 5.
+func (e *Engine) resolveTracked(q *query) Verdict {
+	pos, en := e.flows.find(&q.key, q.hash)
+	if en != nil {
+		if v, done := e.useKnown(q, pos, en); done {
+			return v
+		}
+	}
+	q.h = q.p.Handoff
+	q.h.HasRecord = false
+	if !q.h.Present {
+		q.h = Handoff{
+			Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
+		}
+	}
+	return e.ask(q)
+}
+
+// useKnown answers from a record that this host holds, or from a fresh hint.
+func (e *Engine) useKnown(q *query, pos uint32, en *entry) (Verdict, bool) {
+	switch en.kind {
+	case entryRecord:
+		h := &e.holdings[en.holding]
+		if !h.has(e.cfg.Host) {
+			return Verdict{}, false
+		}
+		if q.needsFirstHolder() && h.first != e.cfg.Host && q.p.Handoff.Passed != h.key.home && e.reachable(h.first) {
+			return Verdict{}, false
+		}
+		if q.isFirst() {
+			return e.repeatFirst(q, pos, en)
+		}
+		e.noteClosing(q.p, en)
+		e.hint(q, en)
+		return e.deliver(q, en.endpoint, en), true
+	case entryHint:
+		if q.needsFirstHolder() || q.p.Handoff.Present || en.epoch != e.epoch || e.clock.since(en.mark) >= hintLife {
+			return Verdict{}, false
+		}
+		return e.deliver(q, en.endpoint, en), true
+	default:
+		return Verdict{}, false
+	}
+}
+
+// noteClosing follows the end of a flow for rule 8. A reset that the other end
+// did not accept is undone by later data.
+func (e *Engine) noteClosing(p *Packet, en *entry) {
+	if p.Protocol != ProtocolTCP {
+		return
+	}
+	if p.Flags&RST != 0 {
+		en.flags |= flagReset
+	} else if p.PayloadLen > 0 && en.flags&flagReset != 0 && e.clock.since(en.mark) > time.Second {
+		en.flags, en.mark = en.flags&^flagReset, 0
+	}
+	if p.Flags&FIN != 0 {
+		if p.Direction == FromCaller {
+			en.flags |= flagCallerFIN
+		} else {
+			en.flags |= flagBackendFIN
+		}
+	}
+	if en.mark == 0 && closed(en) {
+		en.mark = e.clock
+	}
+}
+
+func closed(en *entry) bool {
+	const both = flagCallerFIN | flagBackendFIN
+	return en.flags&flagReset != 0 || en.flags&both == both
+}
+
+// reachable says whether a packet may be handed to a host. Hosts without a known
+// link count as reachable, since packets need no link.
+func (e *Engine) reachable(host string) bool {
+	if host == "" {
+		return false
+	}
+	p := e.peers[host]
+	return p == nil || p.up
+}
+
+// ask hands the packet to the next holder that may have a record, or concludes
+// that there is none if this host is the last one.
+func (e *Engine) ask(q *query) Verdict {
+	pl := e.planFor(q.svc, q.bucket)
+	if pl.overflow {
+		return drop(ReasonNoHolder)
+	}
+	if q.isFirst() && pl.length > 1 {
+		// The placing holder is asked last, so that no other one has a record by then.
+		slices.Reverse(pl.steps[:pl.length])
+	}
+	mine := uint32(0)
+	for i, step := range pl.steps[:pl.length] {
+		if slices.Contains(q.h.Asked[:q.h.AskedLen], step.home) {
+			continue
+		}
+		v, held, done := e.askStep(q, step, i == pl.length-1)
+		if done {
+			return v
+		}
+		mine = held
+		if int(q.h.AskedLen) == MaxAsked {
+			return drop(ReasonTooManyHops)
+		}
+		q.h.Asked[q.h.AskedLen] = step.home
+		q.h.AskedLen++
+		q.h.Passed = 0
+	}
+	if q.isFirst() {
+		return drop(ReasonNoHolder)
+	}
+	return e.withoutRecord(q, mine)
+}
+
+// askStep asks the holders of one failure domain. It returns done false if this
+// host is one of them and knows that there is no record.
+func (e *Engine) askStep(q *query, step planStep, last bool) (v Verdict, held uint32, done bool) {
+	pos := e.byKey[holdingKey{q.svc.Name, uint32(q.number), step.home}]
+	if pos == 0 {
+		return drop(ReasonNoHolder), 0, true
+	}
+	h := &e.holdings[pos]
+	me := e.cfg.Host
+	passed := q.h.Passed == step.home
+	answers := h.first == me || (h.second == me && (passed || !e.reachable(h.first)))
+	if h.second == me && !q.needsFirstHolder() && h.whole {
+		answers = true
+	}
+	if passed && h.first == me {
+		return drop(ReasonNoHolder), 0, true
+	}
+	switch {
+	case answers && q.isFirst() && last:
+		if h.mayPlace(e.clock) {
+			return e.place(q, pos), pos, true
+		}
+	case answers && h.whole:
+		return Verdict{}, pos, false
+	}
+	if answers && h.first != me {
+		return drop(ReasonNoHolder), 0, true
+	}
+	return e.handToHolder(q, h), 0, true
+}
+
+// handToHolder hands the packet to a holder other than this host.
+func (e *Engine) handToHolder(q *query, h *holding) Verdict {
+	target := h.first
+	if h.first == e.cfg.Host {
+		target = h.second
+		q.h.Passed = h.key.home
+	} else if !e.reachable(h.first) {
+		target = h.second
+	}
+	if target == "" || target == e.cfg.Host || !e.reachable(target) {
+		return drop(ReasonNoHolder)
+	}
+	return e.handOff(q, target)
+}
+
+// handOff passes the packet to another entry host.
+func (e *Engine) handOff(q *query, target string) Verdict {
+	q.h.Hops++
+	if q.h.Hops > maxHops {
+		return drop(ReasonTooManyHops)
+	}
+	return Verdict{Action: HandOff, Host: target, Handoff: q.h}
+}
+
+// withoutRecord resolves a packet of a flow for which no holder has a record: it
+// dates from the time when the bucket was settled. The holder keeps a record
+// of it from now on, so that its answer can be cached (rule 8 then applies to it).
+func (e *Engine) withoutRecord(q *query, held uint32) Verdict {
+	id := q.bucket.Base
+	if q.svc.BalanceFirst && q.bucket.Settled() {
+		id = 0 // every flow has a record
+	}
+	if id == 0 {
+		return drop(ReasonNoRecord)
+	}
+	ep, ok := e.table.Endpoint(id)
+	if !ok || ep.State == directory.Removed || held == 0 || e.holdings[held].first != e.cfg.Host {
+		return e.deliver(q, id, nil)
+	}
+	if q.p.Direction == FromBackend && ep.Address != q.p.Backend {
+		return drop(ReasonWrongEndpoint)
+	}
+	r := Record{
+		Caller: q.key.caller(), Service: q.key.service(), Protocol: q.p.Protocol, State: Sent, Endpoint: id,
+	}
+	en, ok := e.store(&r, held, true)
+	if !ok {
+		return e.deliver(q, id, nil)
+	}
+	e.noteClosing(q.p, en)
+	e.hint(q, en)
+	return e.deliver(q, id, en)
+}
+
+// deliver forwards a packet to or from the endpoint of its flow.
+func (e *Engine) deliver(q *query, id directory.EndpointID, en *entry) Verdict {
+	ep, ok := e.table.Endpoint(id)
+	if !ok {
+		return drop(ReasonNoEndpoint)
+	}
+	if ep.Service != q.svc.Name {
+		return drop(ReasonServiceChanged)
+	}
+	if q.p.Direction == FromBackend {
+		if ep.State == directory.Removed || ep.Address != q.p.Backend {
+			return drop(ReasonWrongEndpoint)
+		}
+		if en != nil {
+			e.touchBackend(q, en)
+		}
+		return Verdict{Action: ForwardToCaller, Endpoint: id, Address: q.svc.Address}
+	}
+	if ep.State == directory.Removed {
+		if q.p.Protocol != ProtocolTCP || q.p.Flags&RST != 0 {
+			return drop(ReasonEndpointGone)
+		}
+		return Verdict{Action: Reset, Outcome: Unknown, Reason: ReasonEndpointGone, Endpoint: id}
+	}
+	if en != nil {
+		e.touchCaller(q, en)
+	}
+	return Verdict{Action: ForwardToBackend, Endpoint: id, Address: ep.Address}
+}
