--- /dev/null
+++ b/internal/lab/action.go
@@ -0,0 +1,211 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Action is a change of the lab during a run.
+type Action interface {
+	fmt.Stringer
+	do(c *conductor) error
+}
+
+// FabricAction puts a fault of the fabric into force.
+type FabricAction struct{ Fault Fault }
+
+func (a FabricAction) do(c *conductor) error { return c.lab.fabric.Apply(a.Fault) }
+
+// String describes the action.
+func (a FabricAction) String() string { return fmt.Sprintf("%T%+v", a.Fault, a.Fault) }
+
+// BackendAction does something with the backend server of a name: drain, leave,
+// restart (leave and start again on the same address), crash, start, or silence
+// (of its oldest connection).
+type BackendAction struct{ Verb, Name string }
+
+// String describes the action.
+func (a BackendAction) String() string { return a.Verb + " " + a.Name }
+
+func (a BackendAction) do(c *conductor) error {
+	p := c.places[a.Name]
+	if p == nil {
+		return fmt.Errorf("no backend server %q", a.Name)
+	}
+	if a.Verb == "start" {
+		return c.start(p)
+	}
+	if p.instance == nil {
+		return fmt.Errorf("backend server %q does not run", a.Name)
+	}
+	switch a.Verb {
+	case "drain":
+		return p.instance.Drain()
+	case "leave":
+		return p.instance.Leave()
+	case "restart":
+		p.restarting = true
+		return p.instance.Leave()
+	case "crash":
+		return c.end(p)
+	case "silence":
+		_, err := p.instance.SilenceOne()
+		return err
+	default:
+		return fmt.Errorf("unknown action %q", a.Verb)
+	}
+}
+
+// FaultAction changes what the backend server of a name tells about itself.
+type FaultAction struct {
+	Name   string
+	Faults BackendFaults
+}
+
+// String describes the action.
+func (a FaultAction) String() string { return fmt.Sprintf("faults of %s: %+v", a.Name, a.Faults) }
+
+func (a FaultAction) do(c *conductor) error {
+	p := c.places[a.Name]
+	if p == nil || p.instance == nil {
+		return fmt.Errorf("backend server %q does not run", a.Name)
+	}
+	return p.instance.SetFaults(a.Faults)
+}
+
+func sortedByTime(timeline []Timed) []Timed {
+	sorted := append([]Timed(nil), timeline...)
+	sort.SliceStable(sorted, func(a, b int) bool { return sorted[a].At < sorted[b].At })
+	return sorted
+}
+
+// ParseTimed reads an action such as "5s drain order-desk-1". The verbs are:
+//
+//	drain|leave|restart|crash|start|silence BACKEND
+//	faults BACKEND [frozen|lags=2s|lies|hangs|fails] [stop-announcing] [claim-ready]
+//	cut|join DOMAIN DOMAIN
+//	link DOMAIN DOMAIN [delay=3ms] [jitter=1ms] [loss=0.01] [duplicate=0.01] [reorder=0.01]
+//	between [delay=3ms] ...
+//	spray-remove|spray-add ENTRYHOST
+func ParseTimed(text string) (Timed, error) {
+	words := strings.Fields(text)
+	if len(words) < 2 {
+		return Timed{}, fmt.Errorf("action %q: want a time and a verb", text)
+	}
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return Timed{}, fmt.Errorf("action %q: %w", text, err)
+	}
+	action, err := parseAction(words[1], words[2:])
+	if err != nil {
+		return Timed{}, fmt.Errorf("action %q: %w", text, err)
+	}
+	return Timed{At: at, Action: action}, nil
+}
+
+// names is the number of names that follow each verb.
+var names = map[string]int{
+	"drain": 1, "leave": 1, "restart": 1, "crash": 1, "start": 1, "silence": 1, "faults": 1,
+	"cut": 2, "join": 2, "link": 2, "between": 0, "spray-remove": 1, "spray-add": 1,
+}
+
+func parseAction(verb string, rest []string) (Action, error) {
+	count, known := names[verb]
+	if !known {
+		return nil, fmt.Errorf("unknown verb %q", verb)
+	}
+	if len(rest) < count {
+		return nil, fmt.Errorf("%s needs %d names", verb, count)
+	}
+	options := rest[count:]
+	switch verb {
+	case "faults":
+		faults, err := parseFaults(options)
+		return FaultAction{Name: rest[0], Faults: faults}, err
+	case "link":
+		l, err := ParseLink(options)
+		return FabricAction{SetLink{A: rest[0], B: rest[1], Link: l}}, err
+	case "between":
+		l, err := ParseLink(options)
+		return FabricAction{SetBetween{l}}, err
+	}
+	if len(options) > 0 {
+		return nil, fmt.Errorf("unexpected %q", options[0])
+	}
+	switch verb {
+	case "cut", "join":
+		return FabricAction{CutLink{A: rest[0], B: rest[1], Cut: verb == "cut"}}, nil
+	case "spray-remove", "spray-add":
+		return FabricAction{RemoveEntryHost{Name: rest[0], Removed: verb == "spray-remove"}}, nil
+	}
+	return BackendAction{Verb: verb, Name: rest[0]}, nil
+}
+
+// ParseLink reads options such as "delay=3ms" and "loss=0.01".
+func ParseLink(options []string) (Link, error) {
+	var l Link
+	for _, option := range options {
+		key, value, _ := strings.Cut(option, "=")
+		var err error
+		switch key {
+		case "delay":
+			l.Delay, err = time.ParseDuration(value)
+		case "jitter":
+			l.Jitter, err = time.ParseDuration(value)
+		case "loss":
+			l.Loss, err = parseShare(value)
+		case "duplicate":
+			l.Duplicate, err = parseShare(value)
+		case "reorder":
+			l.Reorder, err = parseShare(value)
+		default:
+			err = errors.New("unknown option")
+		}
+		if err != nil {
+			return Link{}, fmt.Errorf("%q: %w", option, err)
+		}
+	}
+	return l, nil
+}
+
+func parseShare(text string) (float64, error) {
+	share, err := strconv.ParseFloat(text, 64)
+	if err == nil && !(share >= 0 && share <= 1) {
+		err = errors.New("not between 0 and 1")
+	}
+	return share, err
+}
+
+func parseFaults(options []string) (BackendFaults, error) {
+	var faults BackendFaults
+	for _, option := range options {
+		key, value, _ := strings.Cut(option, "=")
+		switch key {
+		case "frozen":
+			faults.Probe = ProbeFrozen
+		case "lags":
+			lag, err := time.ParseDuration(value)
+			if err != nil {
+				return faults, fmt.Errorf("%q: %w", option, err)
+			}
+			faults.Probe, faults.ProbeLag = ProbeLags, lag
+		case "lies":
+			faults.Probe = ProbeLies
+		case "hangs":
+			faults.Probe = ProbeHangs
+		case "fails":
+			faults.Probe = ProbeFails
+		case "stop-announcing":
+			faults.StopAnnouncing = true
+		case "claim-ready":
+			faults.ClaimReady = true
+		default:
+			return faults, fmt.Errorf("unknown fault %q", option)
+		}
+	}
+	return faults, nil
+}
--- /dev/null
+++ b/internal/lab/backend.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+)
+
+// States that a backend server announces (docs/design.md, section 6.3).
+const (
+	stateStarting = "starting"
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateLeaving  = "leaving"
+)
+
+const (
+	// maxConnections bounds the open connections of one backend server; the design
+	// figure is 2000.
+	maxConnections = 8192
+	// backendRing holds an event of every connection and room for commands, probes and ticks.
+	backendRing = maxConnections + 1024
+	// backendTick bounds the error of the time that a request takes.
+	backendTick = 2 * time.Millisecond
+	// newWorkLimit is the time after which a leaving backend server must get no new flow (P6).
+	newWorkLimit = 3 * time.Second
+	// leaveLimit is the time after which a leaving backend server aborts what callers keep open.
+	leaveLimit = 30 * time.Second
+	// maxAccepted bounds the list of accepted connections.
+	maxAccepted = 1 << 20
+)
+
+// BackendConfig describes one instance of a backend server.
+type BackendConfig struct {
+	Instance     string
+	Service      string // name that it announces
+	Domain       string
+	Address      netip.AddrPort
+	Slots        int
+	QueueLimit   int
+	ColdStart    time.Duration // time in state "starting"
+	Lease        time.Duration
+	AnnounceURLs []string // tried in turn; none to announce nothing
+	Token        string   // sent as bearer token if not empty
+	ProbeListen  string   // address of the health and load endpoints, such as 127.0.0.1:0
+}
+
+// BackendFaults changes what a backend server tells about itself.
+type BackendFaults struct {
+	Probe          ProbeFault
+	ProbeLag       time.Duration // with ProbeLags; at most maxProbeLag
+	StopAnnouncing bool
+	ClaimReady     bool // announces "ready" again after it has announced that it drains or leaves
+}
+
+// Accepted is a connection that a backend server accepted.
+type Accepted struct {
+	Caller netip.AddrPort
+	At     time.Duration // since the start of the instance
+}
+
+// BackendReport is the account of one instance.
+type BackendReport struct {
+	Instance, Service, State   string
+	Slots                      int
+	Work                       WorkStats
+	Open                       int
+	LateFlows                  uint64 // accepted more than 3 s after it began to drain or leave
+	Aborted                    uint64 // kept open by callers beyond the limit for leaving
+	Malformed                  uint64 // connections that sent something else than whole requests
+	Announced, AnnounceRefused uint64
+	Accepted                   []Accepted
+	Ledger                     map[uint64]Execution
+}
+
+// Backend is a running instance of a backend server.
+type Backend struct {
+	config   BackendConfig
+	fabric   *Fabric
+	host     *host
+	plug     *attachment
+	listener *socket
+	inbox    *ring.Ring[backendEvent]
+	announce *ring.Ring[announcement]
+	probes   *probeServer
+	group    *duty.Group
+	now      func() time.Duration
+	ticking  atomic.Bool
+	state    *backendState // belongs to the serving duty
+	log      *slog.Logger
+}
+
+// backendEvent is something that happened to the serving duty.
+type backendEvent struct {
+	conn   *backendConn
+	accept bool
+	do     func(s *backendState)
+}
+
+// StartBackend plugs a new instance into the fabric and starts it.
+func StartBackend(f *Fabric, config BackendConfig, log *slog.Logger, onFatal func(error)) (*Backend, error) {
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	b := &Backend{
+		config:   config,
+		fabric:   f,
+		inbox:    ring.New[backendEvent](config.Instance, backendRing, ring.DropNewest),
+		announce: ring.New[announcement](config.Instance+"-announce", 1, ring.DropOldest),
+		group:    duty.NewGroup(log, handlerLimit, now, onFatal),
+		now:      now,
+		log:      log.With("instance", config.Instance),
+	}
+	var err error
+	if b.host, b.plug, err = f.newHost(config.Domain, []netip.Addr{config.Address.Addr()}); err != nil {
+		return nil, fmt.Errorf("backend server %s: %w", config.Instance, err)
+	}
+	if b.listener, err = b.host.listen(config.Address, func() { _, _ = b.inbox.Put(backendEvent{accept: true}) }); err != nil {
+		return nil, fmt.Errorf("backend server %s: %w", config.Instance, err)
+	}
+	if b.probes, err = newProbeServer(config.ProbeListen, b.inbox, log); err != nil {
+		return nil, fmt.Errorf("backend server %s: %w", config.Instance, err)
+	}
+	b.state = newBackendState(b)
+	b.addDuties()
+	b.group.Start()
+	return b, nil
+}
+
+func (b *Backend) addDuties() {
+	b.group.Add(duty.FromRing(b.config.Instance+"-serve", b.inbox, b.handle))
+	b.group.Add(duty.FromRing(b.config.Instance+"-announce", b.announce, newAnnouncer(b).send))
+	b.group.Add(duty.Duty{Name: b.config.Instance + "-probes", Run: b.probes.run})
+	b.group.Add(tickDuty(b.config.Instance+"-clock", backendTick, &b.ticking, func() { _, _ = b.inbox.Put(backendEvent{}) }))
+	b.group.Add(closeDuty(b.config.Instance+"-closer", b.inbox.Close, b.announce.Close, b.probes.close))
+}
+
+// Drain makes the backend server finish its flows and ask for no new ones.
+func (b *Backend) Drain() error {
+	return b.do(func(s *backendState) { s.retire(stateDraining) })
+}
+
+// Leave makes the backend server ask its callers to close their connections.
+// Stop ends it once HasLeft reports true.
+func (b *Backend) Leave() error {
+	return b.do(func(s *backendState) { s.retire(stateLeaving) })
+}
+
+// HasLeft reports whether a leaving backend server has finished.
+func (b *Backend) HasLeft() (bool, error) {
+	return askBackend(b, func(s *backendState) bool { return s.left })
+}
+
+// SetFaults changes what the backend server tells about itself.
+func (b *Backend) SetFaults(faults BackendFaults) error {
+	return b.do(func(s *backendState) { s.setFaults(faults) })
+}
+
+// SilenceOne makes the oldest open connection silent for good and returns its
+// caller: the fabric drops its packets in both directions.
+func (b *Backend) SilenceOne() (netip.AddrPort, error) {
+	caller, err := askBackend(b, func(s *backendState) netip.AddrPort { return s.oldestCaller() })
+	if err != nil {
+		return caller, err
+	}
+	if !caller.IsValid() {
+		return caller, fmt.Errorf("backend server %s has no open connection", b.config.Instance)
+	}
+	return caller, b.fabric.Apply(SilenceFlow{Backend: b.config.Address, Caller: caller, Silent: true})
+}
+
+// Report returns the account of the instance so far.
+func (b *Backend) Report() (BackendReport, error) {
+	return askBackend(b, func(s *backendState) BackendReport { return s.report() })
+}
+
+// Stop ends the instance. Connections that are still open vanish without a
+// packet, as when the machine loses power, unless Leave came before.
+func (b *Backend) Stop(ctx context.Context) error {
+	err := b.fabric.detach(b.plug)
+	err = errors.Join(err, b.group.Stop(ctx))
+	b.listener.close()
+	b.host.stack.Close()
+	return err
+}
+
+func (b *Backend) do(what func(s *backendState)) error {
+	_, err := askBackend(b, func(s *backendState) bool { what(s); return true })
+	return err
+}
+
+// askBackend runs do in the serving duty and returns its answer.
+func askBackend[T any](b *Backend, do func(s *backendState) T) (T, error) {
+	reply := ring.New[T](b.config.Instance+"-reply", 1, ring.DropNewest)
+	event := backendEvent{do: func(s *backendState) { _, _ = reply.Put(do(s)) }}
+	if err := putPatiently(b.inbox, event); err != nil {
+		var zero T
+		return zero, fmt.Errorf("backend server %s: %w", b.config.Instance, err)
+	}
+	return reply.Get()
+}
+
+func (b *Backend) handle(e backendEvent) error {
+	now := b.now()
+	switch {
+	case e.do != nil:
+		e.do(b.state)
+	case e.accept:
+		b.state.acceptAll(now)
+	case e.conn != nil:
+		b.state.serve(e.conn, now)
+	default:
+		b.ticking.Store(false)
+		b.state.tick(now)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/backend_state.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"net/netip"
+	"time"
+)
+
+// backendConn is an accepted connection.
+type backendConn struct {
+	*socket
+	caller  netip.AddrPort
+	at      time.Duration
+	pending int // requests that are not answered yet
+}
+
+// backendState is what the serving duty of a backend server owns.
+type backendState struct {
+	backend      *Backend
+	worker       *worker
+	conns        map[*backendConn]struct{}
+	state        string
+	retiredAt    time.Duration // when it began to drain or leave
+	nextAnnounce time.Duration
+	told         bool // the last state has been announced
+	left         bool // no connection is left and the instance may end
+	faults       BackendFaults
+	probe        probeMemory
+	report0      BackendReport // the counters that this type keeps
+}
+
+func newBackendState(b *Backend) *backendState {
+	return &backendState{
+		backend: b,
+		worker:  newWorker(b.config.Slots, b.config.QueueLimit),
+		conns:   map[*backendConn]struct{}{},
+		state:   stateStarting,
+	}
+}
+
+// acceptAll takes the connections that wait at the listener.
+func (s *backendState) acceptAll(now time.Duration) {
+	s.backend.listener.handled()
+	for {
+		accepted := s.backend.listener.accept()
+		if accepted == nil {
+			return
+		}
+		c := &backendConn{socket: accepted, caller: accepted.remote(), at: now}
+		if len(s.conns) >= maxConnections {
+			accepted.abort()
+			continue
+		}
+		if s.isRetired() && now-s.retiredAt > newWorkLimit {
+			s.report0.LateFlows++
+		}
+		if len(s.report0.Accepted) < maxAccepted {
+			s.report0.Accepted = append(s.report0.Accepted, Accepted{Caller: c.caller, At: now})
+		}
+		s.conns[c] = struct{}{}
+		c.watch(func() { _, _ = s.backend.inbox.Put(backendEvent{conn: c}) })
+		if s.state == stateLeaving {
+			s.sayGoodbye(c)
+		}
+		s.serve(c, now) // bytes may have arrived before watch
+	}
+}
+
+// serve handles the events of one connection.
+func (s *backendState) serve(c *backendConn, now time.Duration) {
+	c.handled()
+	if c.closed {
+		return
+	}
+	ended := c.receive(maxMessage)
+	for {
+		request, length, err := parseMessage(c.in)
+		if err != nil {
+			s.report0.Malformed++
+			s.drop(c, c.abort)
+			return
+		}
+		if length == 0 {
+			break
+		}
+		c.in = c.in[length:]
+		s.take(c, request, now)
+	}
+	if err := c.flush(); ended != nil || err != nil {
+		s.drop(c, c.close)
+	}
+}
+
+// take runs, queues or refuses one request.
+func (s *backendState) take(c *backendConn, request message, now time.Duration) {
+	if request.Verb != verbRequest || request.Service != s.backend.config.Service {
+		s.worker.stats.Foreign++
+		s.reply(c, request, verbRefusal)
+		return
+	}
+	if !s.worker.accept(job{request: request, conn: c}, now) {
+		s.reply(c, request, verbRefusal)
+		return
+	}
+	c.pending++
+}
+
+// reply answers a request; only an answer carries a body.
+func (s *backendState) reply(c *backendConn, request message, verb string) {
+	answer := request
+	answer.Verb, answer.Service, answer.Sender = verb, s.backend.config.Service, s.backend.config.Instance
+	if verb != verbAnswer {
+		answer.Size = 0
+	}
+	if !c.closed && c.send(answer.append(nil)) != nil {
+		s.drop(c, c.close)
+	}
+}
+
+func (s *backendState) sayGoodbye(c *backendConn) {
+	s.reply(c, message{}, verbGoAway)
+}
+
+func (s *backendState) drop(c *backendConn, how func()) {
+	how()
+	delete(s.conns, c)
+}
+
+// tick answers the requests that have ended and does what is due.
+func (s *backendState) tick(now time.Duration) {
+	for {
+		done, ok := s.worker.finished(now)
+		if !ok {
+			break
+		}
+		done.conn.pending--
+		s.reply(done.conn, done.request, verbAnswer)
+	}
+	if s.state == stateStarting && now >= s.backend.config.ColdStart {
+		s.setState(stateReady)
+	}
+	s.probe.record(now, s.load())
+	if now >= s.nextAnnounce {
+		s.sendAnnouncement(now)
+	}
+	if s.state == stateLeaving {
+		s.tryLeave(now)
+	}
+}
+
+// tryLeave ends the instance when no connection is left.
+func (s *backendState) tryLeave(now time.Duration) {
+	if now-s.retiredAt > leaveLimit {
+		for c := range s.conns {
+			s.report0.Aborted++
+			s.drop(c, c.abort)
+		}
+	}
+	// Callers of entry hosts that have not heard of it may still come until the limit.
+	if len(s.conns) == 0 && now-s.retiredAt > newWorkLimit {
+		s.left = true
+	}
+}
+
+func (s *backendState) isRetired() bool { return s.state == stateDraining || s.state == stateLeaving }
+
+// retire moves to draining or leaving; a leaving instance does not go back.
+func (s *backendState) retire(state string) {
+	if s.state == stateLeaving {
+		return
+	}
+	if !s.isRetired() {
+		s.retiredAt = s.backend.now()
+	}
+	s.setState(state)
+	if state == stateLeaving {
+		for c := range s.conns {
+			s.sayGoodbye(c)
+		}
+	}
+}
+
+func (s *backendState) setState(state string) {
+	s.state, s.told, s.nextAnnounce = state, false, 0
+}
+
+func (s *backendState) setFaults(faults BackendFaults) {
+	s.faults = faults
+	s.probe.freeze(s.load())
+}
+
+func (s *backendState) oldestCaller() netip.AddrPort {
+	var oldest *backendConn
+	for c := range s.conns {
+		if oldest == nil || c.at < oldest.at {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return netip.AddrPort{}
+	}
+	return oldest.caller
+}
+
+func (s *backendState) load() loadReport {
+	return loadReport{
+		State: s.state, Slots: s.worker.slots, Busy: len(s.worker.running),
+		Queued: len(s.worker.waiting), Connections: len(s.conns),
+	}
+}
+
+// report copies the account, so that the receiver shares nothing with the duty.
+func (s *backendState) report() BackendReport {
+	s.worker.integrate(s.backend.now())
+	r := s.report0
+	r.Instance, r.Service, r.State = s.backend.config.Instance, s.backend.config.Service, s.state
+	r.Slots, r.Work, r.Open = s.worker.slots, s.worker.stats, len(s.conns)
+	r.Accepted = append([]Accepted(nil), s.report0.Accepted...)
+	r.Ledger = make(map[uint64]Execution, len(s.worker.ledger))
+	for id, execution := range s.worker.ledger {
+		r.Ledger[id] = execution
+	}
+	return r
+}
--- /dev/null
+++ b/internal/lab/caller_conn.go
@@ -0,0 +1,229 @@
+package lab
+
+import (
+	"container/heap"
+	"errors"
+	"io"
+	"net/netip"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+)
+
+// phase is the state of a caller's connection.
+type phase int
+
+const (
+	phaseClosed phase = iota
+	phaseOpening
+	phaseIdle
+	phaseWaiting // for a response
+)
+
+// callerConn is one connection of a caller; it is opened again when it ends.
+type callerConn struct {
+	*socket
+	state      *callersState
+	address    netip.Addr
+	phase      phase
+	generation uint64 // changes with each timer, so that an older one is ignored
+	request    message
+	retries    int  // of request so far
+	repeat     bool // request is sent again on the next connection
+	done       int  // requests on this connection
+	goAway     bool
+	since      time.Duration // of the phase
+}
+
+func (c *callerConn) wakeAt(at time.Duration) {
+	c.generation++
+	heap.Push(&c.state.timers, timer{at: at, conn: c, generation: c.generation})
+}
+
+func (c *callerConn) enter(p phase, now time.Duration) { c.phase, c.since = p, now }
+
+func (c *callerConn) onTimer(now time.Duration) {
+	switch c.phase {
+	case phaseClosed:
+		c.open(now)
+	case phaseIdle:
+		c.sendNext(now)
+	}
+}
+
+func (c *callerConn) open(now time.Duration) {
+	if c.state.finishing {
+		return
+	}
+	callers := c.state.callers
+	c.done, c.goAway = 0, false
+	s, err := callers.host.connect(c.address, callers.config.Target, func(s *socket) {
+		_, _ = callers.inbox.Put(callersEvent{conn: c, socket: s})
+	})
+	if err != nil {
+		c.fail(now)
+		return
+	}
+	c.socket = s
+	c.enter(phaseOpening, now)
+}
+
+func (c *callerConn) onEvent(now time.Duration) {
+	c.handled()
+	switch c.phase {
+	case phaseOpening:
+		c.onOpening(now)
+	case phaseIdle, phaseWaiting:
+		c.onBytes(now)
+	}
+}
+
+func (c *callerConn) onOpening(now time.Duration) {
+	switch c.socket.state() {
+	case tcp.StateEstablished, tcp.StateCloseWait:
+		r := &c.state.report
+		r.Opened++
+		r.SlowestOpened = max(r.SlowestOpened, now-c.since)
+		c.enter(phaseIdle, now)
+		if c.repeat {
+			c.sendNext(now)
+		} else {
+			c.wakeAt(now + c.state.exponential(c.state.callers.config.Pause))
+		}
+	case tcp.StateError, tcp.StateClose:
+		c.close()
+		c.fail(now)
+	}
+}
+
+func (c *callerConn) fail(now time.Duration) {
+	c.state.report.ConnectFailed++
+	c.reopenLater(now)
+}
+
+func (c *callerConn) reopenLater(now time.Duration) {
+	c.enter(phaseClosed, now)
+	if !c.state.finishing {
+		c.wakeAt(now + c.state.exponential(reopenPause))
+	}
+}
+
+// sendNext sends a new request, or repeats the one whose outcome is unknown.
+func (c *callerConn) sendNext(now time.Duration) {
+	if c.state.finishing {
+		c.shut()
+		return
+	}
+	if c.repeat {
+		c.repeat = false
+		c.state.report.Retried++
+	} else {
+		c.request, c.retries = c.state.newRequest(), 0
+		c.state.report.Sent++
+	}
+	c.enter(phaseWaiting, now)
+	if err := c.send(c.request.append(nil)); err != nil {
+		c.onEnd(err, now)
+	}
+}
+
+func (c *callerConn) onBytes(now time.Duration) {
+	ended := errors.Join(c.receive(maxMessage), c.flush())
+	for c.phase != phaseClosed {
+		response, length, err := parseMessage(c.in)
+		if err != nil {
+			c.state.report.Corrupt++
+			c.onEnd(err, now)
+			return
+		}
+		if length == 0 {
+			break
+		}
+		c.in = c.in[length:]
+		c.onResponse(response, now)
+	}
+	if ended != nil && c.phase != phaseClosed {
+		c.onEnd(ended, now)
+	}
+}
+
+// onResponse checks that a response belongs to the request of this connection.
+func (c *callerConn) onResponse(response message, now time.Duration) {
+	r := &c.state.report
+	if response.Service != c.state.callers.config.Service {
+		r.Misrouted++
+	}
+	if response.Verb == verbGoAway {
+		c.goAway = true
+		if c.phase == phaseIdle {
+			c.closeAndReopen(now)
+		}
+		return
+	}
+	if c.phase != phaseWaiting || response.ID != c.request.ID {
+		r.Foreign++
+		return
+	}
+	switch {
+	case response.Verb == verbAnswer && response.Size == c.request.Size:
+		r.Answered++
+		r.SlowestAnswer = max(r.SlowestAnswer, now-c.since)
+	case response.Verb == verbRefusal:
+		r.Refused++
+		if len(r.RefusedIDs) < maxRefusedIDs {
+			r.RefusedIDs = append(r.RefusedIDs, response.ID)
+		}
+	default:
+		r.Foreign++
+		return
+	}
+	c.afterResponse(now)
+}
+
+func (c *callerConn) afterResponse(now time.Duration) {
+	c.done++
+	c.enter(phaseIdle, now)
+	limit := c.state.callers.config.RequestsPerConnection
+	switch {
+	case c.state.finishing:
+		c.shut()
+	case c.goAway || limit > 0 && c.done >= limit:
+		c.closeAndReopen(now)
+	default:
+		c.wakeAt(now + c.state.exponential(c.state.callers.config.Pause))
+	}
+}
+
+func (c *callerConn) closeAndReopen(now time.Duration) {
+	c.close()
+	c.reopenLater(now)
+}
+
+// onEnd accounts for a connection that the other side has ended.
+func (c *callerConn) onEnd(err error, now time.Duration) {
+	r := &c.state.report
+	config := &c.state.callers.config
+	switch {
+	case c.phase == phaseWaiting:
+		r.Broken++
+		r.Unknown++
+		if c.request.Idempotent && c.retries < config.Retries {
+			c.retries++
+			c.repeat = true
+		}
+	case errors.Is(err, io.EOF):
+		r.ClosedByServer++
+	default:
+		r.Broken++
+	}
+	c.closeAndReopen(now)
+}
+
+// shut closes the connection for good.
+func (c *callerConn) shut() {
+	c.generation++
+	if c.socket != nil {
+		c.close()
+	}
+	c.phase = phaseClosed
+}
--- /dev/null
+++ b/internal/lab/callers.go
@@ -0,0 +1,257 @@
+package lab
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+)
+
+const (
+	// callersTick bounds the error of request times.
+	callersTick = 2 * time.Millisecond
+	// reopenPause is the mean pause before a caller opens a connection again; it
+	// keeps refused callers from a tight loop.
+	reopenPause = 250 * time.Millisecond
+	// maxRefusedIDs bounds the list of refused requests that is checked at the end.
+	maxRefusedIDs = 1 << 20
+	// idBits is the part of a request id that counts within a group of callers.
+	idBits = 40
+)
+
+// CallersConfig describes a group of callers of one service.
+type CallersConfig struct {
+	Name      string
+	Group     uint64 // distinguishes the request ids of groups
+	Domain    string // of the callers' stack; any name that is no failure domain of entry hosts will do
+	Addresses []netip.Addr
+	Service   string         // name that answers must carry
+	Target    netip.AddrPort // service address
+
+	Connections           int     // open at once
+	OpenPerSecond         float64 // pace of the first opening
+	RequestsPerConnection int     // after which a connection is closed and opened again; 0 keeps it open
+	Pause                 time.Duration
+	Work                  time.Duration // mean time that a request occupies a slot
+	BodySize              int
+	IdempotentShare       float64
+	Retries               int // of an idempotent request with unknown outcome
+	Seed                  uint64
+}
+
+// CallersReport is the account of a group of callers.
+type CallersReport struct {
+	Service                      string
+	Opened, ConnectFailed        uint64
+	Broken                       uint64 // ended by a reset, or by the server with a request in progress
+	ClosedByServer               uint64 // ended in order without a request in progress
+	Sent, Answered, Refused      uint64
+	Unknown                      uint64 // requests whose connection broke before the answer
+	Retried                      uint64
+	Misrouted                    uint64 // responses of another service
+	Foreign                      uint64 // responses that do not belong to the connection's request
+	Corrupt                      uint64 // bytes that are no response
+	Open, Waiting                int    // now
+	RefusedIDs                   []uint64
+	SlowestAnswer, SlowestOpened time.Duration
+}
+
+// Callers is a group of callers on one user-space stack.
+type Callers struct {
+	config  CallersConfig
+	fabric  *Fabric
+	host    *host
+	plug    *attachment
+	inbox   *ring.Ring[callersEvent]
+	group   *duty.Group
+	now     func() time.Duration
+	ticking atomic.Bool
+	state   *callersState // belongs to the calling duty
+}
+
+// callersEvent is something that happened to the calling duty.
+type callersEvent struct {
+	conn   *callerConn
+	socket *socket // of conn when the event happened
+	do     func(s *callersState)
+}
+
+// callersState is what the calling duty owns.
+type callersState struct {
+	callers   *Callers
+	random    *rand.Rand
+	conns     []*callerConn
+	timers    timers
+	lastID    uint64
+	finishing bool
+	report    CallersReport
+}
+
+// StartCallers plugs a group of callers into the fabric and starts it.
+func StartCallers(f *Fabric, config CallersConfig, log *slog.Logger, onFatal func(error)) (*Callers, error) {
+	if len(config.Addresses) == 0 {
+		return nil, fmt.Errorf("callers %s: no addresses", config.Name)
+	}
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	c := &Callers{
+		config: config,
+		fabric: f,
+		// One event of every connection, and room for commands and ticks.
+		inbox: ring.New[callersEvent](config.Name, 2*config.Connections+1024, ring.DropNewest),
+		group: duty.NewGroup(log, handlerLimit, now, onFatal),
+		now:   now,
+	}
+	var err error
+	if c.host, c.plug, err = f.newHost(config.Domain, config.Addresses); err != nil {
+		return nil, fmt.Errorf("callers %s: %w", config.Name, err)
+	}
+	c.state = newCallersState(c)
+	c.group.Add(duty.FromRing(config.Name, c.inbox, c.handle))
+	c.group.Add(tickDuty(config.Name+"-clock", callersTick, &c.ticking, func() { _, _ = c.inbox.Put(callersEvent{}) }))
+	c.group.Add(closeDuty(config.Name+"-closer", c.inbox.Close))
+	c.group.Start()
+	return c, nil
+}
+
+func newCallersState(c *Callers) *callersState {
+	s := &callersState{callers: c, random: rand.New(rand.NewPCG(c.config.Seed, c.config.Group))}
+	s.report.Service = c.config.Service
+	for i := range c.config.Connections {
+		conn := &callerConn{state: s, address: c.config.Addresses[i%len(c.config.Addresses)]}
+		s.conns = append(s.conns, conn)
+		at := time.Duration(0)
+		if c.config.OpenPerSecond > 0 {
+			at = time.Duration(float64(i) / c.config.OpenPerSecond * float64(time.Second))
+		}
+		conn.wakeAt(at)
+	}
+	return s
+}
+
+// Report returns the account so far.
+func (c *Callers) Report() (CallersReport, error) {
+	return askCallers(c, func(s *callersState) CallersReport { return s.copyReport() })
+}
+
+// Finish sends no more requests. Connections are closed once their request is
+// answered, so Waiting in the report goes to 0 unless an answer is lost.
+func (c *Callers) Finish() error {
+	_, err := askCallers(c, func(s *callersState) bool { s.finish(); return true })
+	return err
+}
+
+// Stop ends the callers; connections that are still open vanish without a packet.
+func (c *Callers) Stop(ctx context.Context) error {
+	err := c.fabric.detach(c.plug)
+	err = errors.Join(err, c.group.Stop(ctx))
+	c.host.stack.Close()
+	return err
+}
+
+// askCallers runs do in the calling duty and returns its answer.
+func askCallers[T any](c *Callers, do func(s *callersState) T) (T, error) {
+	reply := ring.New[T](c.config.Name+"-reply", 1, ring.DropNewest)
+	if err := putPatiently(c.inbox, callersEvent{do: func(s *callersState) { _, _ = reply.Put(do(s)) }}); err != nil {
+		var zero T
+		return zero, fmt.Errorf("callers %s: %w", c.config.Name, err)
+	}
+	return reply.Get()
+}
+
+func (c *Callers) handle(e callersEvent) error {
+	now := c.now()
+	switch {
+	case e.do != nil:
+		e.do(c.state)
+	case e.conn != nil:
+		if e.conn.socket == e.socket { // else the connection was replaced meanwhile
+			e.conn.onEvent(now)
+		}
+	default:
+		c.ticking.Store(false)
+		c.state.tick(now)
+	}
+	return nil
+}
+
+func (s *callersState) tick(now time.Duration) {
+	for len(s.timers) > 0 && s.timers[0].at <= now {
+		t := heap.Pop(&s.timers).(timer)
+		if t.conn.generation == t.generation {
+			t.conn.onTimer(now)
+		}
+	}
+}
+
+func (s *callersState) finish() {
+	s.finishing = true
+	for _, c := range s.conns {
+		if c.phase != phaseWaiting {
+			c.shut()
+		}
+	}
+}
+
+func (s *callersState) copyReport() CallersReport {
+	r := s.report
+	r.RefusedIDs = append([]uint64(nil), s.report.RefusedIDs...)
+	for _, c := range s.conns {
+		switch c.phase {
+		case phaseIdle:
+			r.Open++
+		case phaseWaiting:
+			r.Open++
+			r.Waiting++
+		}
+	}
+	return r
+}
+
+// newRequest draws the next request.
+func (s *callersState) newRequest() message {
+	config := &s.callers.config
+	s.lastID++
+	return message{
+		Verb: verbRequest, ID: config.Group<<idBits | s.lastID, Service: config.Service, Sender: config.Name,
+		Idempotent: s.random.Float64() < config.IdempotentShare,
+		Work:       s.exponential(config.Work), Size: config.BodySize,
+	}
+}
+
+func (s *callersState) exponential(mean time.Duration) time.Duration {
+	return time.Duration(s.random.ExpFloat64() * float64(mean))
+}
+
+// timer wakes a connection unless its generation has changed.
+type timer struct {
+	at         time.Duration
+	conn       *callerConn
+	generation uint64
+}
+
+// timers is a heap by time.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(a, b int) bool { return t[a].at < t[b].at }
+func (t timers) Swap(a, b int)      { t[a], t[b] = t[b], t[a] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/lab/fabric.go
@@ -0,0 +1,318 @@
+// Package lab has stand-ins for the surroundings of cassiawood: the fabric,
+// the backend servers and the callers, with load and fault switches. Each duty has
+// one goroutine; duties are joined by bounded rings.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"cassiawood/internal/duty"
+	"cassiawood/internal/packet"
+	"cassiawood/internal/ring"
+)
+
+const (
+	// batchSize is the number of packets per system call.
+	batchSize = 64
+	// packetRing is the capacity of the packet rings, about 40 ms of traffic at
+	// 100,000 packets/s; a full ring loses packets as a switch would.
+	packetRing = 4096
+	// maxDatagram is the largest UDP payload that the fabric reads.
+	maxDatagram = 2048
+	// tickInterval bounds the error of delays in the fabric.
+	tickInterval = time.Millisecond
+	// handlerLimit is the time after which the watchdog regards a duty as hung.
+	handlerLimit = 30 * time.Second
+	// vni is the virtual network of the fabric's packets; entry hosts need not read it.
+	vni = 1
+	// udpBuffer is the size of the socket buffers, enough for one full ring.
+	udpBuffer = 4 << 20
+)
+
+// FabricConfig describes a fabric.
+type FabricConfig struct {
+	Listen     netip.AddrPort // loopback address that entry hosts send to; port 0 picks a free one
+	EntryHosts []EntryHost
+	Inside     Link // within a failure domain
+	Between    Link // between failure domains
+	Seed       uint64
+}
+
+// fabricEvent is a packet, a tick or a change for the scheduling duty.
+type fabricEvent struct {
+	inner  []byte
+	stack  *attachment    // the packet's sender, if it is a stack
+	source netip.AddrPort // the packet's sender, if it is an entry host
+	change func(n *network)
+}
+
+// Fabric carries the packets between stacks and entry hosts.
+type Fabric struct {
+	conn     *net.UDPConn
+	packets  *ipv4.PacketConn
+	inbox    *ring.Ring[fabricEvent]
+	toEntry  *ring.Ring[delivery]
+	toStack  *ring.Ring[delivery]
+	ticking  atomic.Bool // a tick is in the inbox
+	network  *network    // belongs to the scheduling duty
+	group    *duty.Group
+	now      func() time.Duration
+	readLoss atomic.Uint64 // datagrams that were no Geneve packets
+	header   []byte
+}
+
+// NewFabric opens the fabric's socket. Start starts its duties.
+func NewFabric(config FabricConfig, log *slog.Logger, onFatal func(error)) (*Fabric, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	if err != nil {
+		return nil, fmt.Errorf("open fabric socket: %w", err)
+	}
+	if err := errors.Join(conn.SetReadBuffer(udpBuffer), conn.SetWriteBuffer(udpBuffer)); err != nil {
+		return nil, errors.Join(fmt.Errorf("size buffers of the fabric socket: %w", err), conn.Close())
+	}
+	start := time.Now()
+	now := func() time.Duration { return time.Since(start) }
+	f := &Fabric{
+		conn:    conn,
+		packets: ipv4.NewPacketConn(conn),
+		inbox:   ring.New[fabricEvent]("fabric-inbox", packetRing, ring.DropNewest),
+		toEntry: ring.New[delivery]("fabric-to-entry", packetRing, ring.DropNewest),
+		toStack: ring.New[delivery]("fabric-to-stack", packetRing, ring.DropNewest),
+		network: newNetwork(config.Seed, config.EntryHosts, config.Inside, config.Between),
+		group:   duty.NewGroup(log, handlerLimit, now, onFatal),
+		now:     now,
+		header:  packet.AppendGeneve(nil, vni, nil),
+	}
+	f.group.Add(duty.Duty{Name: "fabric-reader", Run: f.read})
+	f.group.Add(duty.FromRing("fabric-scheduler", f.inbox, f.schedule))
+	f.group.Add(duty.Duty{Name: "fabric-writer", Run: f.write})
+	f.group.Add(duty.FromRing("fabric-injector", f.toStack, f.injectOne))
+	f.group.Add(tickDuty("fabric-clock", tickInterval, &f.ticking, func() { _, _ = f.inbox.Put(fabricEvent{}) }))
+	f.group.Add(closeDuty("fabric-closer", f.inbox.Close, f.toEntry.Close, f.toStack.Close, func() { _ = conn.Close() }))
+	return f, nil
+}
+
+// closeDuty calls the closers when the group stops, so that the duties that wait
+// for a ring or a socket end. Closing them earlier would look like a failed duty.
+func closeDuty(name string, closers ...func()) duty.Duty {
+	return duty.Duty{Name: name, Run: func(ctx context.Context, _ *duty.Progress) error {
+		<-ctx.Done()
+		for _, c := range closers {
+			c()
+		}
+		return nil
+	}}
+}
+
+// tickDuty calls put every interval unless the previous tick still waits.
+func tickDuty(name string, interval time.Duration, waiting *atomic.Bool, put func()) duty.Duty {
+	return duty.Duty{Name: name, Run: func(ctx context.Context, _ *duty.Progress) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				if waiting.CompareAndSwap(false, true) {
+					put()
+				}
+			}
+		}
+	}}
+}
+
+// Addr returns the address that entry hosts send to.
+func (f *Fabric) Addr() netip.AddrPort {
+	return unmapped(f.conn.LocalAddr())
+}
+
+// unmapped returns a UDP address with a plain IPv4 address; package net may give
+// the form that is mapped into IPv6, which compares as different.
+func unmapped(a net.Addr) netip.AddrPort {
+	addr := a.(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
+
+// Start starts the duties.
+func (f *Fabric) Start() { f.group.Start() }
+
+// Stop ends the duties and closes the socket.
+func (f *Fabric) Stop(ctx context.Context) error { return f.group.Stop(ctx) }
+
+// Apply puts a fault into force; packets that are already on their way are not affected.
+func (f *Fabric) Apply(fault Fault) error {
+	result, err := ask(f, fault.apply)
+	return errors.Join(err, result)
+}
+
+// Stats returns the packet counters.
+func (f *Fabric) Stats() (FabricStats, error) {
+	stats, err := ask(f, func(n *network) FabricStats { return n.stats })
+	stats.Malformed += f.readLoss.Load()
+	stats.Overflow = f.inbox.Drops() + f.toEntry.Drops() + f.toStack.Drops()
+	return stats, err
+}
+
+func (f *Fabric) attach(a *attachment) error {
+	_, err := ask(f, func(n *network) bool { n.attach(a); return true })
+	return err
+}
+
+func (f *Fabric) detach(a *attachment) error {
+	_, err := ask(f, func(n *network) bool { n.detach(a); return true })
+	return err
+}
+
+// ask runs do in the scheduling duty and returns its answer.
+func ask[T any](f *Fabric, do func(n *network) T) (T, error) {
+	reply := ring.New[T]("fabric-reply", 1, ring.DropNewest)
+	change := fabricEvent{change: func(n *network) {
+		_, _ = reply.Put(do(n))
+	}}
+	if err := putPatiently(f.inbox, change); err != nil {
+		var zero T
+		return zero, fmt.Errorf("fabric: %w", err)
+	}
+	return reply.Get()
+}
+
+// putPatiently retries a value that must not be lost in a ring that drops
+// values when it is full.
+func putPatiently[T any](r *ring.Ring[T], v T) error {
+	for {
+		queued, err := r.Put(v)
+		if err != nil || queued {
+			return err
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+// newHost creates a stack in a failure domain and attaches it.
+func (f *Fabric) newHost(domain string, addresses []netip.Addr) (*host, *attachment, error) {
+	a := &attachment{domain: domain, addresses: addresses}
+	h, err := newHost(addresses, func(inner []byte) {
+		_, _ = f.inbox.Put(fabricEvent{inner: inner, stack: a})
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	a.inject = h.link.inject
+	return h, a, f.attach(a)
+}
+
+// schedule handles one event of the scheduling duty.
+func (f *Fabric) schedule(e fabricEvent) error {
+	now := f.now()
+	switch {
+	case e.change != nil:
+		e.change(f.network)
+	case e.stack != nil:
+		f.network.fromStack(e.stack, e.inner, now)
+	case e.source.IsValid():
+		f.network.fromEntry(e.source, e.inner, now)
+	default:
+		f.ticking.Store(false)
+	}
+	for {
+		d, ok := f.network.due(now)
+		if !ok {
+			return nil
+		}
+		if d.toStack != nil {
+			f.network.stats.ToStacks++
+			_, _ = f.toStack.Put(d)
+		} else {
+			f.network.stats.ToEntryHosts++
+			_, _ = f.toEntry.Put(d)
+		}
+	}
+}
+
+func (f *Fabric) injectOne(d delivery) error {
+	d.toStack.inject(d.inner)
+	return nil
+}
+
+// read takes the entry hosts' packets from the socket.
+func (f *Fabric) read(ctx context.Context, progress *duty.Progress) error {
+	messages := newMessages(batchSize)
+	for {
+		n, err := f.packets.ReadBatch(messages, 0)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return fmt.Errorf("read from fabric socket: %w", err)
+		}
+		progress.Begin()
+		for i := range n {
+			f.readOne(messages[i].Buffers[0][:messages[i].N], messages[i].Addr)
+		}
+		progress.End()
+	}
+}
+
+func (f *Fabric) readOne(datagram []byte, source net.Addr) {
+	var g packet.Geneve
+	if packet.DecodeGeneve(datagram, &g) != nil {
+		f.readLoss.Add(1)
+		return
+	}
+	event := fabricEvent{inner: append([]byte(nil), g.Inner...), source: unmapped(source)}
+	_, _ = f.inbox.Put(event)
+}
+
+// write sends packets to the entry hosts.
+func (f *Fabric) write(_ context.Context, progress *duty.Progress) error {
+	batch := make([]delivery, batchSize)
+	messages := make([]ipv4.Message, batchSize)
+	for {
+		n, err := f.toEntry.GetBatch(batch)
+		if err != nil {
+			return nil // the ring is closed
+		}
+		progress.Begin()
+		for i, d := range batch[:n] {
+			messages[i].Buffers = [][]byte{f.header, d.inner}
+			messages[i].Addr = net.UDPAddrFromAddrPort(d.toEntry)
+		}
+		err = writeAll(f.packets, messages[:n])
+		progress.End()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("write to fabric socket: %w", err)
+		}
+	}
+}
+
+func newMessages(n int) []ipv4.Message {
+	messages := make([]ipv4.Message, n)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, maxDatagram)}
+	}
+	return messages
+}
+
+func writeAll(conn *ipv4.PacketConn, messages []ipv4.Message) error {
+	for len(messages) > 0 {
+		n, err := conn.WriteBatch(messages, 0)
+		if err != nil {
+			return err
+		}
+		messages = messages[n:]
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/packet"
+)
+
+// finish ends the requests and the lab and returns the final account.
+func finish(l *Lab) *Results {
+	GinkgoHelper()
+	Expect(l.Finish(context.Background())).To(Succeed())
+	r := report(l)
+	Expect(l.Stop(context.Background())).To(Succeed())
+	return r
+}
+
+func answered(n uint64) func(ServiceReport) bool {
+	return func(r ServiceReport) bool { return r.Answered >= n }
+}
+
+var _ = Describe("Lab", func() {
+	// Guards against fakes that break connections or requests by themselves.
+	It("answers every request through entry hosts that share no state", func() {
+		l := newSite(4, 3, 20).start()
+		waitFor(l, answered(500))
+		r := finish(l)
+		Expect(r.Violations()).To(BeEmpty())
+		s := r.Services[0]
+		Expect(s.Opened).To(BeEquivalentTo(20))
+		Expect(s.Answered + s.Refused).To(Equal(s.Sent))
+		Expect(s.Runs).To(Equal(s.Answered))
+		Expect(s.Open).To(BeZero())
+	})
+
+	// Guards against fakes that need a perfect network, and faults that have no effect.
+	It("survives loss, delay, duplication and reordering", func() {
+		site := newSite(3, 3, 10)
+		site.config.Fabric.Seed = 7
+		site.config.Fabric.Between = Link{
+			Delay: 2 * time.Millisecond, Jitter: time.Millisecond, Loss: 0.01, Duplicate: 0.02, Reorder: 0.05,
+		}
+		l := site.start()
+		waitFor(l, answered(300))
+		r := finish(l)
+		Expect(r.Violations()).To(BeEmpty())
+		Expect([]uint64{r.Fabric.Lost, r.Fabric.Duplicated, r.Fabric.Reordered}).NotTo(ContainElement(BeZero()))
+	})
+
+	// Guards against a restart that the callers see as a broken connection although the server asked them to close.
+	It("restarts a backend server on the same address without a broken connection", func() {
+		l := newSite(2, 2, 10).start()
+		waitFor(l, answered(50))
+		Expect(l.Do(BackendAction{Verb: "restart", Name: "b1"})).To(Succeed())
+		Eventually(func() []string {
+			var names []string
+			for _, b := range report(l).Backends {
+				names = append(names, b.Instance)
+			}
+			return names
+		}, never, "20ms").Should(ContainElement("b1.2"))
+		r := finish(l)
+		// The stand-in knows nothing of a leaving server, so it places late flows on it.
+		r.Services[0].LateFlows = 0
+		Expect(r.Violations()).To(BeEmpty())
+	})
+
+	// Guards against a crash, a broken connection or a late flow that the account does not show.
+	It("counts what breaks when a backend server crashes", func() {
+		l := newSite(2, 1, 5).start()
+		waitFor(l, answered(20))
+		Expect(l.Do(BackendAction{Verb: "crash", Name: "b1"})).To(Succeed())
+		Expect(l.Do(BackendAction{Verb: "start", Name: "b1"})).To(Succeed())
+		waitFor(l, func(r ServiceReport) bool { return r.Broken == 5 && r.Opened == 10 })
+		r := finish(l)
+		Expect(r.Services[0].Unknown).To(BeNumerically(">", 0))
+		Expect(r.Services[0].Answered).To(BeNumerically(">", 20))
+	})
+
+	It("counts flows that reach a backend server long after it began to drain", func() {
+		site := newSite(1, 1, 2)
+		site.config.Callers[0].RequestsPerConnection = 1
+		l := site.start()
+		waitFor(l, answered(1))
+		Expect(l.Do(BackendAction{Verb: "drain", Name: "b1"})).To(Succeed())
+		waitFor(l, func(r ServiceReport) bool { return r.LateFlows > 0 })
+		Expect(finish(l).Violations()).To(ContainElement(ContainSubstring("leaving backend server")))
+	})
+
+	// Guards against a silent connection that silences others too, or none.
+	It("makes one connection silent", func() {
+		l := newSite(2, 1, 3).start()
+		waitFor(l, answered(20))
+		Expect(l.Do(BackendAction{Verb: "silence", Name: "b1"})).To(Succeed())
+		before := report(l).Services[0].Answered
+		waitFor(l, func(r ServiceReport) bool { return r.Answered > before+100 && r.Waiting >= 1 })
+		Expect(report(l).Fabric.Silenced).To(BeNumerically(">", 0))
+		Expect(l.Stop(context.Background())).To(Succeed())
+	})
+
+	// Guards against an account that cannot see a response of another service or of another request.
+	It("counts a packet that reaches the wrong service", func() {
+		site := newSite(1, 2, 4)
+		site.config.Backends[1].Service = "print"
+		l := site.start()
+		waitFor(l, func(r ServiceReport) bool { return r.Misrouted > 0 })
+		Expect(finish(l).Violations()).To(ContainElement(ContainSubstring("misrouted")))
+	})
+
+	// Guards against a damaged packet that the stacks accept, which would hide faulty rewriting.
+	It("refuses packets with a wrong checksum", func() {
+		site := newSite(1, 1, 1)
+		damaged := make(chan struct{}, 1)
+		site.hosts[0].damage = func(inner []byte, h *packet.Headers) {
+			if h.PayloadLen > 0 && h.Dst == service {
+				inner[h.TotalLen-1] ^= 1
+				select {
+				case damaged <- struct{}{}:
+				default:
+				}
+			}
+		}
+		l := site.start()
+		<-damaged
+		r := report(l)
+		Expect(r.Services[0].Answered).To(BeZero())
+		Expect(r.Backends[0].Malformed).To(BeZero())
+		Expect(l.Stop(context.Background())).To(Succeed())
+	})
+
+	// Guards against a spray that still uses a host that was taken out.
+	It("takes an entry host out of the spray and puts it back", func() {
+		l := newSite(1, 1, 1).start()
+		waitFor(l, answered(5))
+		Expect(l.Do(FabricAction{RemoveEntryHost{Name: "e1", Removed: true}})).To(Succeed())
+		Eventually(func() uint64 { return report(l).Fabric.NoEntryHost }, never, "5ms").Should(BeNumerically(">", 0))
+		before := report(l).Services[0].Answered
+		Expect(l.Do(FabricAction{RemoveEntryHost{Name: "e1"}})).To(Succeed())
+		waitFor(l, answered(before+5))
+		Expect(l.Do(FabricAction{RemoveEntryHost{Name: "e9"}})).To(MatchError(ContainSubstring("e9")))
+		Expect(finish(l).Violations()).To(BeEmpty())
+	})
+
+	It("refuses callers without an address", func() {
+		site := newSite(1, 1, 1)
+		site.config.Callers[0].Addresses = []netip.Addr{}
+		_, err := Start(site.config, discard, failOnFatal)
+		Expect(err).To(MatchError(ContainSubstring("no addresses")))
+	})
+})
--- /dev/null
+++ b/internal/lab/link.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"gvisor.dev/gvisor/pkg/buffer"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+	"gvisor.dev/gvisor/pkg/tcpip/link/channel"
+	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+)
+
+const (
+	nicID = 1
+	// innerMTU leaves room for the Geneve header with the longest hand-off on a path of 1500 bytes.
+	innerMTU = 1340
+)
+
+// link connects a user-space stack with the fabric. It replaces the queue of
+// the channel endpoint, which would need one more goroutine, by a function.
+type link struct {
+	*channel.Endpoint
+	send func(inner []byte)
+}
+
+// WritePackets hands the stack's packets to the fabric. It must not block, since
+// the stack holds locks.
+func (l *link) WritePackets(packets stack.PacketBufferList) (int, tcpip.Error) {
+	for _, p := range packets.AsSlice() {
+		b := p.ToBuffer()
+		l.send(b.Flatten())
+		b.Release()
+	}
+	return packets.Len(), nil
+}
+
+// inject gives the stack a packet from the fabric.
+func (l *link) inject(inner []byte) {
+	p := stack.NewPacketBuffer(stack.PacketBufferOptions{Payload: buffer.MakeWithData(inner)})
+	l.InjectInbound(header.IPv4ProtocolNumber, p)
+	p.DecRef()
+}
+
+// host is a user-space TCP stack with its link.
+type host struct {
+	stack *stack.Stack
+	link  *link
+}
+
+func newHost(addresses []netip.Addr, send func(inner []byte)) (*host, error) {
+	s := stack.New(stack.Options{
+		NetworkProtocols:   []stack.NetworkProtocolFactory{ipv4.NewProtocol},
+		TransportProtocols: []stack.TransportProtocolFactory{tcp.NewProtocol},
+	})
+	l := &link{Endpoint: channel.New(1, innerMTU, ""), send: send}
+	if err := s.CreateNIC(nicID, l); err != nil {
+		return nil, fmt.Errorf("create interface: %s", err)
+	}
+	for _, a := range addresses {
+		address := tcpip.ProtocolAddress{
+			Protocol:          header.IPv4ProtocolNumber,
+			AddressWithPrefix: tcpip.AddrFrom4(a.As4()).WithPrefix(),
+		}
+		if err := s.AddProtocolAddress(nicID, address, stack.AddressProperties{}); err != nil {
+			return nil, fmt.Errorf("add address %s: %s", a, err)
+		}
+	}
+	s.SetRouteTable([]tcpip.Route{{Destination: header.IPv4EmptySubnet, NIC: nicID}})
+	sack := tcpip.TCPSACKEnabled(true)
+	if err := s.SetTransportProtocolOption(tcp.ProtocolNumber, &sack); err != nil {
+		return nil, fmt.Errorf("enable selective acknowledgement: %s", err)
+	}
+	return &host{stack: s, link: l}, nil
+}
+
+func fullAddress(a netip.AddrPort) tcpip.FullAddress {
+	return tcpip.FullAddress{NIC: nicID, Addr: tcpip.AddrFrom4(a.Addr().As4()), Port: a.Port()}
+}
+
+func addrPort(a tcpip.FullAddress) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(a.Addr.As4()), a.Port)
+}
+
+func stackError(err tcpip.Error) error { return errors.New(err.String()) }
--- /dev/null
+++ b/internal/lab/network.go
@@ -0,0 +1,293 @@
+package lab
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"cassiawood/internal/packet"
+)
+
+// EntryHost is an entry host as the fabric knows it.
+type EntryHost struct {
+	Name   string
+	Domain string
+	Addr   netip.AddrPort // Geneve
+}
+
+// Link is the quality of the path between two failure domains, in one direction.
+type Link struct {
+	Delay     time.Duration
+	Jitter    time.Duration // added to Delay, uniformly distributed; keeps the order of packets
+	Loss      float64       // share of packets
+	Duplicate float64
+	Reorder   float64 // share of packets that are held back for another Delay plus Jitter
+	Cut       bool
+}
+
+// FabricStats counts the packets of the fabric.
+type FabricStats struct {
+	FromStacks, ToEntryHosts, FromEntryHosts, ToStacks uint64
+	Lost, CutOff, Duplicated, Reordered, Silenced      uint64
+	NoEntryHost                                        uint64 // every entry host was out of the spray
+	UnknownSource                                      uint64 // from an address that is no entry host
+	UnknownDestination                                 uint64 // to an address that no stack has
+	Malformed                                          uint64
+	Overflow                                           uint64 // a ring was full
+}
+
+// attachment is a stack that is plugged into the fabric.
+type attachment struct {
+	domain    string
+	addresses []netip.Addr
+	inject    func(inner []byte)
+}
+
+// delivery is a packet on its way through the fabric.
+type delivery struct {
+	due     time.Duration
+	order   uint64 // breaks ties, so that a run is reproducible
+	toEntry netip.AddrPort
+	toStack *attachment // nil if the packet goes to an entry host
+	inner   []byte
+}
+
+type sprayTarget struct {
+	EntryHost
+	removed bool
+}
+
+type linkKey struct{ from, to string }
+
+// flowPair is one connection as the backend server's side sees it.
+type flowPair struct{ backend, caller netip.AddrPort }
+
+// network decides where and when each packet is delivered. It is a pure function
+// of its seed and of the packets, times and faults that it is given.
+type network struct {
+	random   *rand.Rand
+	entries  []sprayTarget
+	bySource map[netip.AddrPort]int // index in entries
+	stacks   map[netip.Addr]*attachment
+	inside   Link // within a failure domain
+	between  Link // between failure domains
+	links    map[linkKey]Link
+	lastDue  map[linkKey]time.Duration
+	silent   map[flowPair]bool
+	pending  deliveries
+	order    uint64
+	stats    FabricStats
+}
+
+func newNetwork(seed uint64, entries []EntryHost, inside, between Link) *network {
+	n := &network{
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		bySource: map[netip.AddrPort]int{},
+		stacks:   map[netip.Addr]*attachment{},
+		inside:   inside,
+		between:  between,
+		links:    map[linkKey]Link{},
+		lastDue:  map[linkKey]time.Duration{},
+		silent:   map[flowPair]bool{},
+	}
+	for _, e := range entries {
+		n.addEntry(e)
+	}
+	return n
+}
+
+// addEntry adds an entry host to the spray, or puts a removed one back.
+func (n *network) addEntry(e EntryHost) {
+	for i := range n.entries {
+		if n.entries[i].Name == e.Name {
+			delete(n.bySource, n.entries[i].Addr)
+			n.entries[i] = sprayTarget{EntryHost: e}
+			n.bySource[e.Addr] = i
+			return
+		}
+	}
+	n.bySource[e.Addr] = len(n.entries)
+	n.entries = append(n.entries, sprayTarget{EntryHost: e})
+}
+
+func (n *network) attach(a *attachment) {
+	for _, address := range a.addresses {
+		n.stacks[address] = a
+	}
+}
+
+func (n *network) detach(a *attachment) {
+	for _, address := range a.addresses {
+		if n.stacks[address] == a {
+			delete(n.stacks, address)
+		}
+	}
+}
+
+// fromStack sprays a packet of an attached stack over the entry hosts.
+func (n *network) fromStack(a *attachment, inner []byte, now time.Duration) {
+	n.stats.FromStacks++
+	if n.isDetached(a) || n.isSilenced(inner) {
+		return
+	}
+	target := n.spray()
+	if target == nil {
+		n.stats.NoEntryHost++
+		return
+	}
+	n.plan(delivery{toEntry: target.Addr, inner: inner}, linkKey{a.domain, target.Domain}, now)
+}
+
+// fromEntry takes a packet that an entry host has sent to the stack that has its destination.
+func (n *network) fromEntry(source netip.AddrPort, inner []byte, now time.Duration) {
+	n.stats.FromEntryHosts++
+	i, known := n.bySource[source]
+	if !known {
+		n.stats.UnknownSource++
+		return
+	}
+	var h packet.Headers
+	if packet.Parse(inner, &h) != nil {
+		n.stats.Malformed++
+		return
+	}
+	a := n.stacks[h.Dst.Addr()]
+	if a == nil {
+		n.stats.UnknownDestination++
+		return
+	}
+	if n.isSilenced(inner) {
+		return
+	}
+	n.plan(delivery{toStack: a, inner: inner}, linkKey{n.entries[i].Domain, a.domain}, now)
+}
+
+func (n *network) isDetached(a *attachment) bool {
+	return len(a.addresses) > 0 && n.stacks[a.addresses[0]] != a
+}
+
+func (n *network) isSilenced(inner []byte) bool {
+	if len(n.silent) == 0 {
+		return false
+	}
+	var h packet.Headers
+	if packet.Parse(inner, &h) != nil {
+		return false
+	}
+	if n.silent[flowPair{h.Src, h.Dst}] || n.silent[flowPair{h.Dst, h.Src}] {
+		n.stats.Silenced++
+		return true
+	}
+	return false
+}
+
+func (n *network) spray() *sprayTarget {
+	usable := 0
+	for i := range n.entries {
+		if !n.entries[i].removed {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return nil
+	}
+	pick := n.random.IntN(usable)
+	for i := range n.entries {
+		if n.entries[i].removed {
+			continue
+		}
+		if pick == 0 {
+			return &n.entries[i]
+		}
+		pick--
+	}
+	return nil
+}
+
+func (n *network) linkFor(key linkKey) Link {
+	if l, ok := n.links[key]; ok {
+		return l
+	}
+	if key.from == key.to {
+		return n.inside
+	}
+	return n.between
+}
+
+// plan puts d into the pending deliveries as the link from key.from to key.to treats it.
+func (n *network) plan(d delivery, key linkKey, now time.Duration) {
+	l := n.linkFor(key)
+	switch {
+	case l.Cut:
+		n.stats.CutOff++
+		return
+	case n.happens(l.Loss):
+		n.stats.Lost++
+		return
+	}
+	d.due = now + l.Delay + n.jitter(l)
+	if n.happens(l.Reorder) {
+		n.stats.Reordered++
+		d.due += l.Delay + l.Jitter
+	} else {
+		d.due = max(d.due, n.lastDue[key])
+		n.lastDue[key] = d.due
+	}
+	n.push(d)
+	if n.happens(l.Duplicate) {
+		n.stats.Duplicated++
+		d.due += n.jitter(l)
+		d.inner = append([]byte(nil), d.inner...) // the receiver owns its packet
+		n.push(d)
+	}
+}
+
+func (n *network) push(d delivery) {
+	n.order++
+	d.order = n.order
+	heap.Push(&n.pending, d)
+}
+
+// due removes and returns the next delivery that is due at now.
+func (n *network) due(now time.Duration) (delivery, bool) {
+	if len(n.pending) == 0 || n.pending[0].due > now {
+		return delivery{}, false
+	}
+	return heap.Pop(&n.pending).(delivery), true
+}
+
+func (n *network) happens(share float64) bool {
+	return share > 0 && n.random.Float64() < share
+}
+
+func (n *network) jitter(l Link) time.Duration {
+	if l.Jitter <= 0 {
+		return 0
+	}
+	return time.Duration(n.random.Int64N(int64(l.Jitter)))
+}
+
+// deliveries is a heap by due time.
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].due != d[j].due {
+		return d[i].due < d[j].due
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+
+// Push implements heap.Interface.
+func (d *deliveries) Push(x any) { *d = append(*d, x.(delivery)) }
+
+// Pop implements heap.Interface.
+func (d *deliveries) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	(*d)[last] = delivery{}
+	*d = (*d)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/lab/protocol.go
@@ -0,0 +1,137 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// The line protocol between callers and backend servers has one form for both
+// directions, a line and a body:
+//
+//	VERB id service sender idempotent work_us size\n
+//	size bytes of body
+//
+// The body is computed from the id, so that a part of another message is noticed.
+const (
+	verbRequest = "REQ"
+	verbAnswer  = "OK"
+	verbRefusal = "BUSY" // the request was not run
+	// verbGoAway asks the caller to close the connection after the answer that it
+	// waits for. A server that closed on its own could cross a request on its way.
+	verbGoAway = "BYE"
+)
+
+const (
+	maxLine = 256
+	// maxBody bounds what one connection may buffer.
+	maxBody    = 1 << 20
+	maxMessage = maxLine + maxBody
+	lineFields = 7
+)
+
+var (
+	errLine = errors.New("malformed line")
+	errBody = errors.New("body does not belong to the message")
+)
+
+// message is a request or the response to one.
+type message struct {
+	Verb       string
+	ID         uint64
+	Service    string
+	Sender     string // caller's or backend server's name
+	Idempotent bool
+	Work       time.Duration // how long the request occupies a slot
+	Size       int           // of the body
+}
+
+// append encodes m with its body.
+func (m *message) append(dst []byte) []byte {
+	idempotent := 0
+	if m.Idempotent {
+		idempotent = 1
+	}
+	dst = fmt.Appendf(dst, "%s %d %s %s %d %d %d\n",
+		m.Verb, m.ID, m.Service, m.Sender, idempotent, m.Work.Microseconds(), m.Size)
+	return appendBody(dst, m.ID, m.Size)
+}
+
+// parseMessage reads the first message of b and returns its length in bytes, or
+// 0 if b does not hold a whole message yet.
+func parseMessage(b []byte) (message, int, error) {
+	end := bytes.IndexByte(b, '\n')
+	if end < 0 {
+		if len(b) > maxLine {
+			return message{}, 0, fmt.Errorf("%w: longer than %d bytes", errLine, maxLine)
+		}
+		return message{}, 0, nil
+	}
+	m, err := parseLine(b[:end])
+	if err != nil {
+		return message{}, 0, err
+	}
+	whole := end + 1 + m.Size
+	if len(b) < whole {
+		return message{}, 0, nil
+	}
+	if !isBody(b[end+1:whole], m.ID) {
+		return message{}, 0, fmt.Errorf("%w %d", errBody, m.ID)
+	}
+	return m, whole, nil
+}
+
+func parseLine(line []byte) (message, error) {
+	fields := bytes.Fields(line)
+	if len(fields) != lineFields {
+		return message{}, fmt.Errorf("%w: %d fields", errLine, len(fields))
+	}
+	id, err1 := strconv.ParseUint(string(fields[1]), 10, 64)
+	idempotent, err2 := strconv.ParseBool(string(fields[4]))
+	work, err3 := strconv.ParseUint(string(fields[5]), 10, 32)
+	size, err4 := strconv.ParseUint(string(fields[6]), 10, 32)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
+		return message{}, fmt.Errorf("%w: %w", errLine, err)
+	}
+	if size > maxBody {
+		return message{}, fmt.Errorf("%w: body of %d bytes", errLine, size)
+	}
+	return message{
+		Verb: string(fields[0]), ID: id, Service: string(fields[2]), Sender: string(fields[3]),
+		Idempotent: idempotent, Work: time.Duration(work) * time.Microsecond, Size: int(size),
+	}, nil
+}
+
+func appendBody(dst []byte, id uint64, size int) []byte {
+	for i := 0; i < size; i += 8 {
+		dst = binary.LittleEndian.AppendUint64(dst, bodyWord(id, i))
+	}
+	if extra := size % 8; extra != 0 {
+		dst = dst[:len(dst)-8+extra]
+	}
+	return dst
+}
+
+func isBody(b []byte, id uint64) bool {
+	var word [8]byte
+	for i := 0; i < len(b); i += 8 {
+		binary.LittleEndian.PutUint64(word[:], bodyWord(id, i))
+		chunk := b[i:min(i+8, len(b))]
+		if !bytes.Equal(chunk, word[:len(chunk)]) {
+			return false
+		}
+	}
+	return true
+}
+
+// bodyWord mixes id and offset (the finalizer of SplitMix64), so that two
+// bodies differ in nearly every word.
+func bodyWord(id uint64, offset int) uint64 {
+	x := id*0x9e3779b97f4a7c15 + uint64(offset)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,207 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+// ServiceReport is the account of one service over all its callers and backend servers.
+type ServiceReport struct {
+	CallersReport
+	Lost       int     // requests without a response on a connection that did not break
+	Doubled    int     // non-idempotent requests that ran more than once
+	RefusedRan int     // requests that were refused to the caller although they ran
+	ForeignRan uint64  // requests of another service that reached a backend server
+	LateFlows  uint64  // accepted more than 3 s after a backend server began to drain or leave
+	Runs       uint64  // requests that ran, repeated ones included
+	Imbalance  float64 // highest over mean of work in progress per slot
+}
+
+// Results is the account of a lab.
+type Results struct {
+	Services []ServiceReport
+	Backends []BackendReport
+	Fabric   FabricStats
+	Failures []error // of timed actions
+}
+
+// Results returns the account so far. Requests that still wait count as lost, so
+// it is final only after Finish.
+func (l *Lab) Results() (Results, error) {
+	type collected struct {
+		backends []BackendReport
+		failures []error
+		err      error
+	}
+	c, err := askConductor(l, func(c *conductor) collected {
+		backends, err := c.collect()
+		return collected{backends, slices.Clone(c.failures), err}
+	})
+	if err = errors.Join(err, c.err); err != nil {
+		return Results{}, err
+	}
+	report := Results{Backends: c.backends, Failures: c.failures}
+	if report.Fabric, err = l.fabric.Stats(); err != nil {
+		return Results{}, err
+	}
+	for _, group := range l.callers {
+		r, err := group.Report()
+		if err != nil {
+			return Results{}, err
+		}
+		report.addCallers(r)
+	}
+	for i := range report.Services {
+		report.Services[i].check(report.Backends)
+	}
+	return report, nil
+}
+
+func (c *conductor) collect() ([]BackendReport, error) {
+	backends := slices.Clone(c.past)
+	for _, p := range c.places {
+		if p.instance == nil {
+			continue
+		}
+		r, err := p.instance.Report()
+		if err != nil {
+			return nil, err
+		}
+		backends = append(backends, r)
+	}
+	slices.SortFunc(backends, func(a, b BackendReport) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return backends, nil
+}
+
+func (r *Results) addCallers(c CallersReport) {
+	for i := range r.Services {
+		if s := &r.Services[i]; s.Service == c.Service {
+			s.CallersReport.add(c)
+			return
+		}
+	}
+	r.Services = append(r.Services, ServiceReport{CallersReport: c})
+}
+
+func (r *CallersReport) add(o CallersReport) {
+	r.Opened += o.Opened
+	r.ConnectFailed += o.ConnectFailed
+	r.Broken += o.Broken
+	r.ClosedByServer += o.ClosedByServer
+	r.Sent += o.Sent
+	r.Answered += o.Answered
+	r.Refused += o.Refused
+	r.Unknown += o.Unknown
+	r.Retried += o.Retried
+	r.Misrouted += o.Misrouted
+	r.Foreign += o.Foreign
+	r.Corrupt += o.Corrupt
+	r.Open += o.Open
+	r.Waiting += o.Waiting
+	r.RefusedIDs = append(r.RefusedIDs, o.RefusedIDs...)
+	r.SlowestAnswer = max(r.SlowestAnswer, o.SlowestAnswer)
+	r.SlowestOpened = max(r.SlowestOpened, o.SlowestOpened)
+}
+
+// check compares what callers were told with the ledgers of the backend servers.
+func (s *ServiceReport) check(backends []BackendReport) {
+	s.Lost = s.Waiting
+	ran := map[uint64]Execution{}
+	for _, b := range backends {
+		if b.Service != s.Service {
+			continue
+		}
+		s.ForeignRan += b.Work.Foreign
+		s.LateFlows += b.LateFlows
+		s.Runs += b.Work.Ran
+		for id, execution := range b.Ledger {
+			execution.Runs += ran[id].Runs
+			ran[id] = execution
+		}
+	}
+	for _, execution := range ran {
+		if execution.Runs > 1 && !execution.Idempotent {
+			s.Doubled++
+		}
+	}
+	for _, id := range s.RefusedIDs {
+		if ran[id].Runs > 0 {
+			s.RefusedRan++
+		}
+	}
+	s.Imbalance = imbalance(s.Service, backends)
+}
+
+// imbalance leaves out instances that were present for less than half of the
+// longest time, since their mean says little about the choice of endpoints.
+func imbalance(service string, backends []BackendReport) float64 {
+	var longest, highest, total float64
+	for _, b := range backends {
+		if b.Service == service {
+			longest = max(longest, b.Work.Observed.Seconds())
+		}
+	}
+	count := 0
+	for _, b := range backends {
+		if b.Service != service || b.Work.Observed.Seconds() < longest/2 || b.Slots == 0 {
+			continue
+		}
+		perSlot := b.Work.SlotTime.Seconds() / b.Work.Observed.Seconds() / float64(b.Slots)
+		highest = max(highest, perSlot)
+		total += perSlot
+		count++
+	}
+	if total == 0 {
+		return 1
+	}
+	return highest / (total / float64(count))
+}
+
+// Violations lists the promises that did not hold.
+func (r *Results) Violations() []string {
+	var found []string
+	for i := range r.Services {
+		s := &r.Services[i]
+		for _, v := range []struct {
+			count uint64
+			what  string
+		}{
+			{s.Broken, "broken connections"},
+			{uint64(s.Lost), "lost requests"},
+			{uint64(s.Doubled), "doubled requests"},
+			{uint64(s.RefusedRan), "refused requests that ran"},
+			{s.Misrouted + s.ForeignRan, "misrouted messages"},
+			{s.Foreign + s.Corrupt, "responses that belong to no request"},
+			{s.LateFlows, "flows placed on a leaving backend server"},
+		} {
+			if v.count > 0 {
+				found = append(found, fmt.Sprintf("%s: %d %s", s.Service, v.count, v.what))
+			}
+		}
+	}
+	for _, err := range r.Failures {
+		found = append(found, "action failed: "+err.Error())
+	}
+	return found
+}
+
+// WriteTable writes the report as a table for people.
+func (r *Results) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, err := fmt.Fprintln(t, "service\topened\tfailed\tbroken\tsent\tanswered\trefused\tunknown\tlost\tdoubled\tmisrouted\timbalance\t")
+	for i := range r.Services {
+		s := &r.Services[i]
+		_, e := fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t\n", s.Service, s.Opened, s.ConnectFailed,
+			s.Broken, s.Sent, s.Answered, s.Refused, s.Unknown, s.Lost, s.Doubled, s.Misrouted+s.ForeignRan, s.Imbalance)
+		err = errors.Join(err, e)
+	}
+	return errors.Join(err, t.Flush())
+}
--- /dev/null
+++ b/internal/lab/worker.go
@@ -0,0 +1,116 @@
+package lab
+
+import (
+	"container/heap"
+	"time"
+)
+
+// job is a request that a backend server has accepted.
+type job struct {
+	request message
+	conn    *backendConn
+	end     time.Duration // when it is answered; 0 while it waits
+}
+
+// worker is the work of one backend server: slots, a queue, and the ledger of
+// what ran. It is pure; the backend server's duty calls it.
+type worker struct {
+	slots      int
+	queueLimit int
+	running    jobs
+	waiting    []job
+	ledger     map[uint64]Execution
+	stats      WorkStats
+	lastChange time.Duration
+}
+
+// maxLedger bounds the ledger of one instance; it is far above the requests of
+// the longest run.
+const maxLedger = 4 << 20
+
+// Execution says how often a request ran.
+type Execution struct {
+	Runs       int
+	Idempotent bool
+}
+
+// WorkStats counts the requests of one backend server.
+type WorkStats struct {
+	Ran, Refused, Foreign uint64 // Foreign: meant for another service
+	// SlotTime is the work in progress, running and waiting, integrated over time.
+	SlotTime time.Duration
+	Observed time.Duration // time over which SlotTime was integrated
+}
+
+func newWorker(slots, queueLimit int) *worker {
+	return &worker{slots: slots, queueLimit: queueLimit, ledger: map[uint64]Execution{}}
+}
+
+// accept takes a request. It reports false if the queue or the ledger is full; the
+// request has then not run.
+func (w *worker) accept(j job, now time.Duration) bool {
+	w.integrate(now)
+	switch {
+	case len(w.ledger)+len(w.waiting) >= maxLedger:
+	case len(w.running) < w.slots:
+		w.run(j, now)
+		return true
+	case len(w.waiting) < w.queueLimit:
+		w.waiting = append(w.waiting, j)
+		return true
+	}
+	w.stats.Refused++
+	return false
+}
+
+func (w *worker) run(j job, now time.Duration) {
+	j.end = now + j.request.Work
+	heap.Push(&w.running, j)
+	execution := w.ledger[j.request.ID]
+	execution.Runs++
+	execution.Idempotent = j.request.Idempotent
+	w.ledger[j.request.ID] = execution
+	w.stats.Ran++
+}
+
+// finished removes and returns the next job that has ended by now.
+func (w *worker) finished(now time.Duration) (job, bool) {
+	w.integrate(now)
+	if len(w.running) == 0 || w.running[0].end > now {
+		return job{}, false
+	}
+	done := heap.Pop(&w.running).(job)
+	if len(w.waiting) > 0 {
+		next := w.waiting[0]
+		w.waiting = w.waiting[1:]
+		w.run(next, now)
+	}
+	return done, true
+}
+
+// integrate adds the work in progress since the last change.
+func (w *worker) integrate(now time.Duration) {
+	elapsed := now - w.lastChange
+	w.stats.SlotTime += elapsed * time.Duration(len(w.running)+len(w.waiting))
+	w.stats.Observed += elapsed
+	w.lastChange = now
+}
+
+// jobs is a heap by end of work.
+type jobs []job
+
+func (j jobs) Len() int           { return len(j) }
+func (j jobs) Less(a, b int) bool { return j[a].end < j[b].end }
+func (j jobs) Swap(a, b int)      { j[a], j[b] = j[b], j[a] }
+
+// Push implements heap.Interface.
+func (j *jobs) Push(x any) { *j = append(*j, x.(job)) }
+
+// Pop implements heap.Interface.
+func (j *jobs) Pop() any {
+	last := len(*j) - 1
+	x := (*j)[last]
+	(*j)[last] = job{}
+	*j = (*j)[:last]
+	return x
+}
