Carry the version in headings and check a change as a whole

Cause: a save must say which version its author read, or an old file overwrites a newer text; control hosts need one decision for a changed section. Change: a heading may name the version; CheckChange joins the heading, the team, the text and the other sections into one list of findings.

--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -1,5 +1,7 @@
 package document
 
+import "fmt"
+
 // Check returns every finding in a whole document, with the lines of the file.
 func Check(text string) ([]Section, []Finding) {
 	sections, findings := ParseDocument(text)
@@ -11,3 +13,37 @@
 	inside = append(inside, CheckTogether(sections)...)
 	return sections, append(findings, InFile(inside, sections)...)
 }
+
+// CheckChange returns the services of a changed section and every reason for
+// which it cannot join the other sections, the team included. The sections include the earlier
+// version of the changed one, if there is one.
+func CheckChange(sections []Section, changed Section) ([]Service, []Finding) {
+	var findings []Finding
+	report := func(words string, wrong *fault) {
+		if wrong != nil {
+			findings = append(findings, Finding{
+				Section: changed.Heading, Words: words, Problem: wrong.problem, Suggestion: wrong.suggestion,
+			})
+		}
+	}
+	_, wrong := parseHeading(changed.Heading)
+	report(changed.Heading, wrong)
+	_, wrong = parseName(changed.Team)
+	report(changed.Team, wrong)
+	services, found := Parse(changed)
+	findings = append(findings, found...)
+	others := make([]Section, 0, len(sections)+1)
+	for _, s := range sections {
+		if s.Heading != changed.Heading {
+			others = append(others, s)
+			continue
+		}
+		if s.Team != changed.Team {
+			report(changed.Heading, &fault{
+				fmt.Sprintf("is a section of team %q, and only that team can change it, not team %q", s.Team, changed.Team),
+				"ask that team",
+			})
+		}
+	}
+	return services, append(findings, CheckTogether(append(others, changed))...)
+}
--- a/internal/document/fuzz_test.go
+++ b/internal/document/fuzz_test.go
@@ -17,7 +17,7 @@
 		}
 		f.Add(string(text))
 	}
-	f.Add("Section \"A\", owned\nby team \"a\".\r\n\r\nThe service \"a\" is reached at 10.0.0.1 port 1 over UDP.\nRefuse at once when no place is free.")
+	f.Add("Section \"A\", owned\nby team \"a\",\nversion 3.\r\n\r\nThe service \"a\" is reached at 10.0.0.1 port 1 over UDP.\nRefuse at once when no place is free.")
 	f.Add("Section \"A\", owned by team \"a\". Note: \"x\n\nNote: The service.\n\nIts backend servers may announce themselves from and 1/2 \"")
 	f.Fuzz(func(t *testing.T, text string) {
 		sections, findings := Check(text)
@@ -32,7 +32,7 @@
 		for i, section := range sections {
 			services, _ := Parse(section)
 			rewritten, wrong := Parse(Section{Heading: section.Heading, Text: Sentences(services)})
-			if len(wrong) > 0 || !reflect.DeepEqual(services, rewritten) || again[i].Text != section.Text || again[i].Team != section.Team {
+			if len(wrong) > 0 || !reflect.DeepEqual(services, rewritten) || again[i].Text != section.Text || again[i].Team != section.Team || again[i].Version != section.Version {
 				t.Fatalf("section %q changed:\n%s\n%s", section.Heading, Sentences(services), Format(wrong))
 			}
 		}
--- a/internal/document/grammar.go
+++ b/internal/document/grammar.go
@@ -48,6 +48,7 @@
 // sentenceForms is the whole set. DOCUMENT.md lists it for operators.
 var sentenceForms = []form{
 	newForm(ruleHeading, "", `Section {name}, owned by team {name}`),
+	newForm(ruleHeading, "version", `Section {name}, owned by team {name}, version {value}`),
 	newForm(ruleService, "TCP", `The service {name} is reached at {value}, port {value}`),
 	newForm(ruleService, "TCP", `The service {name} is reached at {value}, port {value}, over TCP`),
 	newForm(ruleService, "UDP", `The service {name} is reached at {value}, port {value}, over UDP`),
@@ -63,6 +64,9 @@
 	newForm(ruleToken, "", `Its backend servers show the announcement token with fingerprint {name}`),
 }
 
+// headingForms are the first forms of the set.
+var headingForms = sentenceForms[:2]
+
 var slotNames = map[string]slot{
 	"{name}": slotName, "{value}": slotValue, "{unit}": slotUnit, "{values}": slotValues,
 }
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -155,6 +155,30 @@
 		Entry("used twice", "Section \"A\", owned by team \"a\".\nSection \"A\", owned by team \"b\".", `section "A", line 2: "A" is the heading of a section of team "a" and of one of team "b"`),
 	)
 
+	// Guards against a save that is based on another version than its author read.
+	It("reads the version that a heading gives, and writes it again", func() {
+		text := "Section \"A\", owned by team \"a\",\nversion 7.\n\n" + desk
+		sections, findings := ParseDocument(text)
+		Expect(Format(findings)).To(BeEmpty())
+		Expect(sections[0].Version).To(BeEquivalentTo(7))
+		again, _ := ParseDocument(Join(sections))
+		Expect(again[0].Version).To(BeEquivalentTo(7))
+		Expect(again[0].Text).To(Equal(sections[0].Text))
+	})
+
+	// Guards against a change that is accepted although another section claims the
+	// same, or refused because of its own earlier version.
+	It("checks a change against the other sections only", func() {
+		sections := []Section{{Heading: "Orders", Team: "shop", Text: desk}}
+		services, findings := CheckChange(sections, shop(desk+"Refuse at once when no place is free."))
+		Expect(Format(findings)).To(BeEmpty())
+		Expect(services).To(HaveLen(1))
+		_, findings = CheckChange(sections, Section{Heading: "New\nline", Team: "shop", Text: desk})
+		Expect(findings).To(HaveLen(3))
+		_, findings = CheckChange(sections, Section{Heading: "Orders", Team: "store", Text: desk})
+		Expect(Format(findings)).To(ContainSubstring(`"Orders" is a section of team "shop", and only that team can change it, not team "store"`))
+	})
+
 	// Guards against two teams' services at one address, where one would get the other's traffic.
 	It("names both sections and teams", func() {
 		a := Section{Heading: "Orders", Team: "shop", Text: desk}
@@ -195,7 +219,7 @@
 				}
 			}
 		}
-		for _, f := range sentenceForms[1:] {
+		for _, f := range sentenceForms[len(headingForms):] {
 			Expect(used).To(HaveKey(f.text()))
 		}
 	})
--- a/internal/document/sections.go
+++ b/internal/document/sections.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -63,7 +64,7 @@
 func parseHeadingLines(lines []string, at int) (Section, int, []Finding) {
 	s := &scanner{}
 	next := at
-	for next == at || s.wantsHeadingWords() && next < len(lines) && canContinue(lines[next]) {
+	for next == at || next < len(lines) && s.continuesHeading(lines[next]) {
 		s.scanLine(lines[next], next+1, false)
 		next++
 	}
@@ -83,18 +84,20 @@
 	return section, next, append(s.findings, wrong...)
 }
 
-// wantsHeadingWords reports whether the heading read so far lacks words. A
+// continuesHeading reports whether line belongs to the heading read so far. A
 // heading with all its words but no full stop must not take in the next line.
-func (s *scanner) wantsHeadingWords() bool {
-	return len(s.out) == 0 && len(s.current.tokens) < len(sentenceForms[0].elements)
-}
-
-func canContinue(line string) bool {
-	return strings.TrimSpace(line) != "" && !isHeadingLine(line)
+func (s *scanner) continuesHeading(line string) bool {
+	if len(s.out) > 0 || strings.TrimSpace(line) == "" || isHeadingLine(line) {
+		return false
+	}
+	words := len(s.current.tokens)
+	if strings.EqualFold(strings.Fields(line)[0], "version") {
+		return words < len(headingForms[1].elements)
+	}
+	return words < len(headingForms[0].elements)
 }
 
 func readHeading(s sentence) (Section, []Finding) {
-	form := &sentenceForms[0]
 	var findings []Finding
 	report := func(at token, wrong *fault) {
 		if wrong != nil {
@@ -107,23 +110,37 @@
 		last := s.tokens[len(s.tokens)-1]
 		report(last, &fault{"has no full stop after it", "add a full stop"})
 	}
-	values, ok := form.match(s.tokens)
-	if !ok {
-		tokens := s.tokens[:min(len(s.tokens), MaxSentenceWords)]
-		pairs, _ := form.align(tokens)
-		section := Section{}
-		if len(tokens) > 1 && tokens[1].quoted {
-			section.Heading = tokens[1].text
+	section := Section{}
+	if len(s.tokens) > 1 && s.tokens[1].quoted {
+		section.Heading = s.tokens[1].text
+	}
+	for i := range headingForms {
+		if values, ok := headingForms[i].match(s.tokens); ok {
+			section.readHeadingValues(values, report)
+			return section, findings
 		}
-		return section, append(findings, form.differences("", tokens, pairs)...)
 	}
+	tokens := s.tokens[:min(len(s.tokens), MaxSentenceWords)]
+	form := &headingForms[0]
+	pairs, cost := form.align(tokens)
+	if withVersion, other := headingForms[1].align(tokens); other < cost {
+		form, pairs = &headingForms[1], withVersion
+	}
+	return section, append(findings, form.differences("", tokens, pairs)...)
+}
+
+func (s *Section) readHeadingValues(values [][]token, report func(token, *fault)) {
 	heading, team := values[0][0], values[1][0]
-	section := Section{Heading: heading.text, Team: team.text}
+	s.Heading, s.Team = heading.text, team.text
 	_, wrong := parseHeading(heading.text)
 	report(heading, wrong)
 	_, wrong = parseName(team.text)
 	report(team, wrong)
-	return section, findings
+	if len(values) > 2 {
+		version, wrong := parseNumber(values[2][0].text, 1, math.MaxInt32)
+		report(values[2][0], wrong)
+		s.Version = uint64(version)
+	}
 }
 
 // Join writes sections as one document. ParseDocument returns the same sections
@@ -134,7 +151,11 @@
 		if i > 0 {
 			b.WriteString("\n")
 		}
-		fmt.Fprintf(&b, "Section \"%s\", owned by team \"%s\".\n", s.Heading, s.Team)
+		version := ""
+		if s.Version > 0 {
+			version = fmt.Sprintf(", version %d", s.Version)
+		}
+		fmt.Fprintf(&b, "Section \"%s\", owned by team \"%s\"%s.\n", s.Heading, s.Team, version)
 		if s.Text != "" {
 			b.WriteString("\n" + s.Text + "\n")
 		}
--- a/internal/document/values.go
+++ b/internal/document/values.go
@@ -64,7 +64,8 @@
 
 // parseHeading accepts any printable words, because a heading is read by people only.
 func parseHeading(text string) (string, *fault) {
-	if text == "" || len(text) > MaxHeadingBytes || strings.TrimSpace(text) != text {
+	hidden := strings.ContainsAny(text, "\n\r\t") || hiddenAt(text) >= 0 || strings.ContainsFunc(text, isQuote)
+	if text == "" || len(text) > MaxHeadingBytes || strings.TrimSpace(text) != text || hidden {
 		return "", &fault{
 			fmt.Sprintf("is not a heading: a heading has 1 to %d letters and no space at its ends", MaxHeadingBytes),
 			"choose another heading",
