--- /dev/null
+++ b/internal/operator/fake_test.go
@@ -0,0 +1,121 @@
+package operator_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cassiawood/internal/document"
+	"cassiawood/internal/operator"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// store is the state that the fake control hosts share.
+type store struct {
+	mu       sync.Mutex
+	versions map[string][]document.Section
+	answers  map[string]operator.Answer
+	saved    int // changes that took effect
+	drained  []operator.HostDrain
+	domains  []operator.DomainChange
+}
+
+func newStore() *store {
+	return &store{versions: map[string][]document.Section{}, answers: map[string]operator.Answer{}}
+}
+
+// fake is one control host in front of a store. before, when set, may fail a
+// call before it takes effect; after may lose the answer of a call that did.
+type fake struct {
+	*store
+	before func() error
+	after  func() error
+}
+
+func (f *fake) Save(_ context.Context, c operator.Change) (operator.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.before != nil {
+		if err := f.before(); err != nil {
+			return operator.Answer{}, err
+		}
+	}
+	answer, err := f.save(c)
+	if err == nil && f.after != nil {
+		err = f.after()
+	}
+	return answer, err
+}
+
+func (f *fake) save(c operator.Change) (operator.Answer, error) {
+	if first, known := f.answers[c.ID]; known {
+		return first, nil
+	}
+	versions := f.versions[c.Section]
+	if n := len(versions); uint64(n) != c.Base {
+		last := versions[n-1]
+		return operator.Answer{}, &operator.Race{Section: c.Section, Version: last.Version, Team: last.Team, Author: "ann", Text: last.Text}
+	}
+	section := document.Section{Heading: c.Section, Team: c.Team, Text: c.Text, Version: c.Base + 1}
+	if _, findings := document.CheckChange(nil, section); len(findings) > 0 {
+		return operator.Answer{}, &operator.Refused{Reason: "the text has problems", Findings: findings}
+	}
+	f.versions[c.Section] = append(versions, section)
+	f.saved++
+	answer := operator.Answer{ChangeID: c.ID, Section: c.Section, Version: section.Version, InForce: []string{"east", "west"}}
+	f.answers[c.ID] = answer
+	return answer, nil
+}
+
+func (f *fake) Sections(context.Context) ([]document.Section, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []document.Section
+	for _, v := range f.versions {
+		out = append(out, v[len(v)-1])
+	}
+	return out, nil
+}
+
+func (f *fake) Section(_ context.Context, heading string, version uint64) (document.Section, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := f.versions[heading]
+	if version == 0 {
+		version = uint64(len(versions))
+	}
+	if version == 0 || version > uint64(len(versions)) {
+		return document.Section{}, &operator.NotFound{What: "section " + heading}
+	}
+	return versions[version-1], nil
+}
+
+func (f *fake) History(context.Context, string) ([]operator.Revision, error) {
+	return []operator.Revision{{Version: 1, At: time.Unix(0, 0).UTC(), Team: "shop", Author: "ann", ChangeID: "1"}}, nil
+}
+
+func (f *fake) Services(context.Context) ([]operator.Service, error) { return nil, nil }
+
+func (f *fake) BackendServers(context.Context) ([]operator.BackendServer, error) {
+	return []operator.BackendServer{{Instance: "a", State: "leaving", Connections: 12}}, nil
+}
+
+func (f *fake) Hosts(context.Context) ([]operator.Host, error) {
+	return nil, errFault
+}
+
+func (f *fake) FailureDomains(context.Context) ([]operator.FailureDomain, error) {
+	return []operator.FailureDomain{{Name: "east"}}, nil
+}
+
+func (f *fake) DeclareOutOfService(_ context.Context, c operator.DomainChange) error {
+	f.domains = append(f.domains, c)
+	return nil
+}
+
+func (f *fake) DrainHost(_ context.Context, d operator.HostDrain) error {
+	f.drained = append(f.drained, d)
+	return nil
+}
--- /dev/null
+++ b/internal/operator/guard.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Token is a team's right to use the API. Only the hash of the secret is kept,
+// so that a stolen settings file gives nobody access.
+type Token struct {
+	Team    string
+	Hash    [sha256.Size]byte
+	Expires time.Time // zero means never
+	Site    bool      // also allows declaring failure domains and draining hosts
+}
+
+// TokenSetting is a token in settings files.
+type TokenSetting struct {
+	Team    string `json:"team"`
+	SHA256  string `json:"sha256"`            // 64 hexadecimal digits
+	Expires string `json:"expires,omitempty"` // a date such as 2027-12-31, the last day on which it is valid (UTC)
+	Site    bool   `json:"site,omitempty"`
+}
+
+// Token returns the checked form of s.
+func (s TokenSetting) Token() (Token, error) {
+	t := Token{Team: s.Team, Site: s.Site}
+	if s.Team == "" {
+		return Token{}, fmt.Errorf("a token needs a team")
+	}
+	hash, err := hex.DecodeString(s.SHA256)
+	if err != nil || len(hash) != len(t.Hash) {
+		return Token{}, fmt.Errorf("token of team %q: sha256 is not 64 hexadecimal digits", s.Team)
+	}
+	copy(t.Hash[:], hash)
+	if s.Expires == "" {
+		return t, nil
+	}
+	day, err := time.Parse(time.DateOnly, s.Expires)
+	if err != nil {
+		return Token{}, fmt.Errorf("token of team %q: expires %q is not a date such as 2027-12-31", s.Team, s.Expires)
+	}
+	t.Expires = day.AddDate(0, 0, 1)
+	return t, nil
+}
+
+// NewSecret returns a random secret of 256 bits and the hash to keep of it.
+func NewSecret() (string, [sha256.Size]byte) {
+	var random [32]byte
+	rand.Read(random[:]) // never fails; see crypto/rand
+	secret := base64.RawURLEncoding.EncodeToString(random[:])
+	return secret, sha256.Sum256([]byte(secret))
+}
+
+// Guard decides who may do what.
+type Guard struct {
+	tokens []Token
+	now    func() time.Time
+}
+
+// NewGuard returns a guard that knows tokens and reads the time from now.
+func NewGuard(tokens []Token, now func() time.Time) *Guard { return &Guard{tokens, now} }
+
+// Check returns the token with the given secret. Every token is compared in
+// constant time, so that the time of an answer tells nothing about the hashes.
+func (g *Guard) Check(secret string) (Token, error) {
+	if secret == "" {
+		return Token{}, &Unauthorised{"the request has no token"}
+	}
+	hash := sha256.Sum256([]byte(secret))
+	found := -1
+	for i := range g.tokens {
+		same := subtle.ConstantTimeCompare(hash[:], g.tokens[i].Hash[:])
+		found = subtle.ConstantTimeSelect(same, i, found)
+	}
+	if found < 0 {
+		return Token{}, &Unauthorised{"the token is not known"}
+	}
+	token := g.tokens[found]
+	if !token.Expires.IsZero() && !g.now().Before(token.Expires) {
+		last := token.Expires.Add(-time.Nanosecond).UTC()
+		return Token{}, &Unauthorised{fmt.Sprintf("the token of team %q was valid until %s", token.Team, last.Format(time.DateOnly))}
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/operator/handlers.go
@@ -0,0 +1,237 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"cassiawood/internal/document"
+)
+
+// Bounds on requests.
+const (
+	// maxBody holds a section of the greatest size with every byte escaped in JSON.
+	maxBody = 6*document.MaxSectionBytes + 4096
+	// maxWords bounds change IDs, authors, hosts and failure domains.
+	maxWords = 100
+	// answerTime covers the 5 s in which failure domains confirm a change and
+	// an election.
+	answerTime = 15 * time.Second
+)
+
+// api translates HTTP requests to a Backend.
+type api struct {
+	backend Backend
+	guard   *Guard
+	log     *slog.Logger
+}
+
+// NewHandler returns the HTTP API in front of backend.
+func NewHandler(backend Backend, guard *Guard, log *slog.Logger) http.Handler {
+	a := &api{backend, guard, log}
+	mux := http.NewServeMux()
+	handle := func(pattern string, action func(*call) (any, error)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { a.serve(w, r, action) })
+	}
+	handle("PUT /v1/section", a.save)
+	handle("GET /v1/section", a.section)
+	handle("GET /v1/sections", func(c *call) (any, error) { return list(a.sections(c)) })
+	handle("GET /v1/history", func(c *call) (any, error) { return list(backend.History(c, c.query("heading"))) })
+	handle("GET /v1/services", func(c *call) (any, error) { return list(backend.Services(c)) })
+	handle("GET /v1/backends", func(c *call) (any, error) { return list(backend.BackendServers(c)) })
+	handle("GET /v1/hosts", func(c *call) (any, error) { return list(backend.Hosts(c)) })
+	handle("GET /v1/domains", func(c *call) (any, error) { return list(backend.FailureDomains(c)) })
+	handle("POST /v1/out-of-service", a.outOfService)
+	handle("POST /v1/drain", a.drain)
+	return mux
+}
+
+// call is one request with its checked token.
+type call struct {
+	context.Context
+	request *http.Request
+	token   Token
+}
+
+func (c *call) query(name string) string { return c.request.URL.Query().Get(name) }
+
+// serve checks the token, runs action and writes its result.
+func (a *api) serve(w http.ResponseWriter, r *http.Request, action func(*call) (any, error)) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
+	defer cancel()
+	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	token, err := a.guard.Check(secret)
+	var result any
+	if err == nil {
+		result, err = action(&call{ctx, r, token})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	if err == nil {
+		writeJSON(w, http.StatusOK, result)
+		return
+	}
+	status, p, known := toProblem(err)
+	if token.Team == "" {
+		status = http.StatusUnauthorized
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	if !known {
+		a.log.Error("operator request failed", "path", r.URL.Path, "team", token.Team, "error", err)
+	}
+	writeJSON(w, status, p)
+}
+
+// list returns an empty list for a nil one, which JSON would show as null.
+func list[T any](values []T, err error) (any, error) {
+	if values == nil {
+		values = []T{}
+	}
+	return values, err
+}
+
+// writeJSON ignores errors of writing: the caller is gone and will ask again.
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// readBody decodes the request into value.
+func (c *call) readBody(value any) error {
+	decoder := json.NewDecoder(c.request.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			return &Refused{Reason: fmt.Sprintf("the text is longer than %d characters", document.MaxSectionBytes)}
+		}
+		return &badRequest{"the body is not the JSON that this path takes: " + err.Error()}
+	}
+	return nil
+}
+
+// checkWords refuses words that are missing, too long or not printable, since
+// they appear in logs and on other operators' terminals.
+func checkWords(name, words string) error {
+	if words == "" {
+		return &badRequest{name + " is missing"}
+	}
+	if len(words) > maxWords {
+		return &badRequest{fmt.Sprintf("%s has more than %d characters", name, maxWords)}
+	}
+	if strings.ContainsFunc(words, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return &badRequest{name + " has characters that cannot be printed"}
+	}
+	return nil
+}
+
+func (a *api) save(c *call) (any, error) {
+	var change Change
+	err := c.readBody(&change)
+	if err != nil {
+		return nil, err
+	}
+	change.Team = c.token.Team
+	if err := errors.Join(checkWords("change_id", change.ID), checkWords("author", change.Author), checkWords("section", change.Section)); err != nil {
+		return nil, err
+	}
+	if err := a.checkOwner(c, change.Section); err != nil {
+		return nil, err
+	}
+	return a.backend.Save(c, change)
+}
+
+// checkOwner refuses a change of another team's section. The control process
+// checks it again when it applies the change, because two teams may create a
+// section of one heading at the same time.
+func (a *api) checkOwner(c *call, heading string) error {
+	current, err := a.backend.Section(c, heading, 0)
+	var none *NotFound
+	if errors.As(err, &none) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if current.Team != c.token.Team {
+		return &Unauthorised{fmt.Sprintf("section %q belongs to team %q, and your token is of team %q", heading, current.Team, c.token.Team)}
+	}
+	return nil
+}
+
+// sectionJSON is a section in JSON.
+type sectionJSON struct {
+	Heading string `json:"heading"`
+	Team    string `json:"team"`
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+func toSectionJSON(s document.Section) sectionJSON {
+	return sectionJSON{s.Heading, s.Team, s.Version, s.Text}
+}
+
+func (s sectionJSON) section() document.Section {
+	return document.Section{Heading: s.Heading, Team: s.Team, Version: s.Version, Text: s.Text}
+}
+
+func (a *api) sections(c *call) ([]sectionJSON, error) {
+	sections, err := a.backend.Sections(c)
+	out := make([]sectionJSON, 0, len(sections))
+	for _, s := range sections {
+		out = append(out, toSectionJSON(s))
+	}
+	return out, err
+}
+
+func (a *api) section(c *call) (any, error) {
+	version := uint64(0)
+	if text := c.query("version"); text != "" {
+		var err error
+		if version, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, &badRequest{"version is not a number"}
+		}
+	}
+	section, err := a.backend.Section(c, c.query("heading"), version)
+	return toSectionJSON(section), err
+}
+
+// checkSite refuses tokens that are only for a team's own section.
+func (c *call) checkSite() error {
+	if !c.token.Site {
+		return &Unauthorised{fmt.Sprintf("the token of team %q does not allow changes of failure domains and hosts", c.token.Team)}
+	}
+	return nil
+}
+
+func (a *api) outOfService(c *call) (any, error) {
+	var change DomainChange
+	if err := errors.Join(c.checkSite(), c.readBody(&change)); err != nil {
+		return nil, err
+	}
+	change.Team = c.token.Team
+	if err := errors.Join(checkWords("change_id", change.ID), checkWords("author", change.Author), checkWords("failure_domain", change.Domain)); err != nil {
+		return nil, err
+	}
+	return struct{}{}, a.backend.DeclareOutOfService(c, change)
+}
+
+func (a *api) drain(c *call) (any, error) {
+	var drain HostDrain
+	if err := errors.Join(c.checkSite(), c.readBody(&drain)); err != nil {
+		return nil, err
+	}
+	drain.Team = c.token.Team
+	if err := errors.Join(checkWords("change_id", drain.ID), checkWords("author", drain.Author), checkWords("host", drain.Host)); err != nil {
+		return nil, err
+	}
+	return struct{}{}, a.backend.DrainHost(c, drain)
+}
--- /dev/null
+++ b/internal/operator/keys.go
@@ -0,0 +1,106 @@
+package operator
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"time"
+)
+
+// authorityDays is the life of a site's certificate authority. It outlives the
+// certificates by far, because replacing it means visiting every machine.
+const authorityDays = 3650
+
+// Pair is a certificate and its private key in PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Authority signs the certificates of a site's control hosts.
+type Authority struct {
+	Pair Pair
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority makes a certificate authority.
+func NewAuthority(now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := template("cassiawood site", now, authorityDays)
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.MaxPathLenZero = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	pair, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return ReadAuthority(pair)
+}
+
+// ReadAuthority returns the authority of an earlier run.
+func ReadAuthority(pair Pair) (*Authority, error) {
+	both, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	if err != nil {
+		return nil, fmt.Errorf("certificate authority: %w", err)
+	}
+	key, ok := both.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !both.Leaf.IsCA {
+		return nil, errors.New("certificate authority: the files are not those of a cassiawood site")
+	}
+	return &Authority{Pair: pair, cert: both.Leaf, key: key}, nil
+}
+
+// Issue makes a certificate for one host, which is an IP address or a name.
+func (a *Authority) Issue(host string, now time.Time, days int) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, err
+	}
+	template := template(host, now, days)
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	if ip := net.ParseIP(host); ip != nil {
+		template.IPAddresses = []net.IP{ip}
+	} else {
+		template.DNSNames = []string{host}
+	}
+	return sign(template, a.cert, key, a.key)
+}
+
+func template(name string, now time.Time, days int) *x509.Certificate {
+	serial, _ := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127)) // never fails; see crypto/rand
+	return &x509.Certificate{
+		SerialNumber: serial.Add(serial, big.NewInt(1)),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Hour), // clocks of hosts differ
+		NotAfter:     now.AddDate(0, 0, days),
+	}
+}
+
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (Pair, error) {
+	cert, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return Pair{}, err
+	}
+	encoded, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded}),
+	}, nil
+}
--- /dev/null
+++ b/internal/operator/problem.go
@@ -0,0 +1,140 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"cassiawood/internal/document"
+)
+
+// problem is the JSON form of an error.
+type problem struct {
+	Kind     string    `json:"kind"`
+	Message  string    `json:"message"`
+	Reason   string    `json:"reason,omitempty"`
+	Findings []finding `json:"findings,omitempty"`
+	Winner   *winner   `json:"winner,omitempty"`
+	Leader   string    `json:"leader,omitempty"`
+}
+
+// finding is a document.Finding in JSON.
+type finding struct {
+	Section    string `json:"section"`
+	Line       int    `json:"line"`
+	Column     int    `json:"column"`
+	Words      string `json:"words"`
+	Problem    string `json:"problem"`
+	Suggestion string `json:"suggestion,omitempty"`
+}
+
+func toFindings(findings []document.Finding) []finding {
+	var out []finding
+	for _, f := range findings {
+		out = append(out, finding(f))
+	}
+	return out
+}
+
+func fromFindings(findings []finding) []document.Finding {
+	var out []document.Finding
+	for _, f := range findings {
+		out = append(out, document.Finding(f))
+	}
+	return out
+}
+
+// winner is the change that was accepted before the one that lost a race.
+type winner struct {
+	Section string `json:"section"`
+	Version uint64 `json:"version"`
+	Team    string `json:"team"`
+	Author  string `json:"author"`
+	Text    string `json:"text"`
+}
+
+// errInternal hides the details of a fault of the program from the network.
+var errInternal = errors.New("the control host failed to handle the request; its log has the details")
+
+// badRequest means that the request does not follow the protocol.
+type badRequest struct{ reason string }
+
+func (e *badRequest) Error() string { return e.reason }
+
+// toProblem returns the status and JSON form of err. known is false if err has
+// no meaning to an operator.
+func toProblem(err error) (status int, p problem, known bool) {
+	var (
+		refused      *Refused
+		race         *Race
+		noQuorum     *NoQuorum
+		notLeader    *NotLeader
+		unauthorised *Unauthorised
+		notFound     *NotFound
+		unanswered   *Unanswered
+		bad          *badRequest
+	)
+	p = problem{Message: err.Error()}
+	switch {
+	case errors.As(err, &refused):
+		p.Kind, p.Reason, p.Findings = "refused", refused.Reason, toFindings(refused.Findings)
+		return http.StatusUnprocessableEntity, p, true
+	case errors.As(err, &race):
+		w := winner(*race)
+		p.Kind, p.Winner = "race", &w
+		return http.StatusConflict, p, true
+	case errors.As(err, &noQuorum):
+		p.Kind, p.Reason = "no quorum", noQuorum.Reason
+		return http.StatusServiceUnavailable, p, true
+	case errors.As(err, &notLeader):
+		p.Kind, p.Leader = "not leader", notLeader.Leader
+		return http.StatusMisdirectedRequest, p, true
+	case errors.As(err, &unauthorised):
+		p.Kind, p.Reason = "unauthorised", unauthorised.Reason
+		return http.StatusForbidden, p, true
+	case errors.As(err, &notFound):
+		p.Kind, p.Reason = "not found", notFound.What
+		return http.StatusNotFound, p, true
+	case errors.As(err, &bad):
+		p.Kind, p.Reason = "bad request", bad.reason
+		return http.StatusBadRequest, p, true
+	case errors.As(err, &unanswered):
+		p.Kind, p.Reason = "unanswered", unanswered.Reason
+		return http.StatusGatewayTimeout, p, true
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		p.Kind, p.Reason = "unanswered", "the control hosts did not decide in time"
+		p.Message = (&Unanswered{p.Reason}).Error()
+		return http.StatusGatewayTimeout, p, true
+	default:
+		p = problem{Kind: "internal", Message: errInternal.Error()}
+		return http.StatusInternalServerError, p, false
+	}
+}
+
+// toError returns the error that p stands for.
+func (p problem) toError() error {
+	switch p.Kind {
+	case "refused":
+		return &Refused{Reason: p.Reason, Findings: fromFindings(p.Findings)}
+	case "race":
+		if p.Winner == nil {
+			return &Unanswered{"the control host gave no winner of the race"}
+		}
+		race := Race(*p.Winner)
+		return &race
+	case "no quorum":
+		return &NoQuorum{p.Reason}
+	case "not leader":
+		return &NotLeader{p.Leader}
+	case "unauthorised":
+		return &Unauthorised{p.Reason}
+	case "not found":
+		return &NotFound{p.Reason}
+	case "bad request":
+		return &Refused{Reason: "the control host does not understand the request: " + p.Reason}
+	case "unanswered":
+		return &Unanswered{p.Reason}
+	default:
+		return &Unanswered{p.Message}
+	}
+}
