Count ticks instead of time in the watchdog

Cause: three control hosts ended with 'no progress for 10s' after their machine had been frozen for 24 s; the clock jumped, but no duty was hung. Ruled out: a deadlock (different duties were named on each host, the certificate duty on all). Change: a duty is hung when it is in the same handler at more than 4 ticks of the watchdog in a row. Result: before, 3 of 3 control hosts exited; the new test of a clock that jumps by an hour passes, the tests of a hung and a failed duty still pass.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -34,15 +34,6 @@
 // End marks the end of a handler.
 func (p *Progress) End() { p.busySince.Store(0) }
 
-// Busy returns how long the current handler has run; 0 while the duty waits.
-func (p *Progress) Busy() time.Duration {
-	since := p.busySince.Load()
-	if since == 0 {
-		return 0
-	}
-	return p.now() - time.Duration(since-1)
-}
-
 // FromRing returns a duty that calls handle for each value of inbox, in order,
 // until the ring is closed and empty.
 func FromRing[T any](name string, inbox *ring.Ring[T], handle func(T) error) Duty {
@@ -114,16 +105,15 @@
 	case <-finished:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("duties did not stop, busy: %v: %w", g.Hung(0), ctx.Err())
+		return fmt.Errorf("duties did not stop, busy: %v: %w", g.busy(), ctx.Err())
 	}
 }
 
-// Hung returns the names of the duties whose current handler has run longer
-// than limit.
-func (g *Group) Hung(limit time.Duration) []string {
+// busy returns the names of the duties that are in a handler.
+func (g *Group) busy() []string {
 	var names []string
 	for i, p := range g.progress {
-		if p.Busy() > limit {
+		if p.busySince.Load() != 0 {
 			names = append(names, g.duties[i].Name)
 		}
 	}
@@ -143,16 +133,28 @@
 	g.fail(fmt.Errorf("duty %s: %w", d.Name, err))
 }
 
+// watchTicks is the number of ticks of the watchdog in the limit of a handler.
+const watchTicks = 4
+
+// watchdog counts the ticks that each duty has spent in one handler. It counts
+// ticks and not time, because a host that was frozen and goes on sees a long
+// time pass in which no duty could have made progress.
+type watchdog struct {
+	handler []int64 // busySince of the handler that was running at the last tick
+	ticks   []int
+}
+
 func (g *Group) watch(ctx context.Context) {
 	defer g.done.Done()
-	ticker := time.NewTicker(max(g.limit/4, time.Millisecond))
+	ticker := time.NewTicker(max(g.limit/watchTicks, time.Millisecond))
 	defer ticker.Stop()
+	w := watchdog{handler: make([]int64, len(g.progress)), ticks: make([]int, len(g.progress))}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if hung := g.Hung(g.limit); len(hung) > 0 {
+			if hung := g.check(&w); len(hung) > 0 {
 				g.fail(fmt.Errorf("watchdog: no progress for %s in %v", g.limit, hung))
 				return
 			}
@@ -160,6 +162,23 @@
 	}
 }
 
+// check is one tick of the watchdog. It returns the names of the duties that
+// were in the same handler for more than watchTicks ticks.
+func (g *Group) check(w *watchdog) []string {
+	var hung []string
+	for i, p := range g.progress {
+		handler := p.busySince.Load()
+		if handler == 0 || handler != w.handler[i] {
+			w.handler[i], w.ticks[i] = handler, 0
+			continue
+		}
+		if w.ticks[i]++; w.ticks[i] > watchTicks {
+			hung = append(hung, g.duties[i].Name)
+		}
+	}
+	return hung
+}
+
 func (g *Group) fail(reason error) {
 	g.fatal.Do(func() {
 		g.log.Error("duty failed", "reason", reason)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -1,4 +1,4 @@
-package duty_test
+package duty
 
 import (
 	"context"
@@ -11,7 +11,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
 )
 
@@ -24,21 +23,21 @@
 	var (
 		clock  atomic.Int64
 		reason chan error
-		group  *duty.Group
+		group  *Group
 		inbox  *ring.Ring[int]
 	)
 	BeforeEach(func() {
 		clock.Store(0)
 		reason = make(chan error, 1)
 		now := func() time.Duration { return time.Duration(clock.Load()) }
-		group = duty.NewGroup(slog.New(slog.DiscardHandler), 4*time.Millisecond, now, func(err error) { reason <- err })
+		group = NewGroup(slog.New(slog.DiscardHandler), 4*time.Millisecond, now, func(err error) { reason <- err })
 		inbox = ring.New[int]("inbox", 1, ring.Block)
 	})
 
 	// Guards against a hung handler that leaves the process alive but useless.
 	It("reports a handler that makes no progress", func() {
 		entered, release := make(chan struct{}), make(chan struct{})
-		group.Add(duty.FromRing("stuck", inbox, func(int) error {
+		group.Add(FromRing("stuck", inbox, func(int) error {
 			close(entered)
 			<-release
 			return nil
@@ -46,17 +45,35 @@
 		group.Start()
 		_, _ = inbox.Put(1)
 		<-entered
-		clock.Store(int64(time.Second))
 		Expect((<-reason).Error()).To(ContainSubstring("stuck"))
 		close(release)
 		inbox.Close()
 		Expect(group.Stop(context.Background())).To(Succeed())
 	})
 
+	// Guards against a watchdog that ends a process because its host was frozen for
+	// a while: the clock jumps, but no duty had a chance to make progress.
+	It("does not take a frozen process for a hung duty", func() {
+		p := &Progress{now: func() time.Duration { return time.Duration(clock.Load()) }}
+		group.duties, group.progress = []Duty{{Name: "steady"}}, []*Progress{p}
+		w := watchdog{handler: make([]int64, 1), ticks: make([]int, 1)}
+		p.Begin()
+		Expect(group.check(&w)).To(BeEmpty())
+		clock.Store(int64(time.Hour))
+		Expect(group.check(&w)).To(BeEmpty())
+		p.End()
+		for range 2 * watchTicks {
+			clock.Add(int64(time.Millisecond))
+			p.Begin()
+			Expect(group.check(&w)).To(BeEmpty())
+			p.End()
+		}
+	})
+
 	// Guards against a failed duty whose error is swallowed.
 	It("reports a duty that fails", func() {
 		failure := errors.New("disk is gone")
-		group.Add(duty.FromRing("writer", inbox, func(int) error { return failure }))
+		group.Add(FromRing("writer", inbox, func(int) error { return failure }))
 		group.Start()
 		_, _ = inbox.Put(1)
 		Expect(<-reason).To(MatchError(failure))
--- /dev/null
+++ b/internal/entry/engine.go
@@ -0,0 +1,295 @@
+package entry
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/flow"
+	"cassiawood/internal/packet"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	// helloInterval is also the heartbeat between peers; peerTimeout covers the loss
+	// of three of them on a lossy link.
+	helloInterval = 500 * time.Millisecond
+	peerTimeout   = 2 * time.Second
+)
+
+// engineEvent is a value in the inbox of the engine duty.
+type engineEvent interface{ isEngineEvent() }
+
+type (
+	enginePackets struct{ batch *batch }
+	engineTick    struct{ now time.Duration }
+	engineEntries struct {
+		entries []directory.Entry
+		contact time.Duration // when this host sent what a leader answered; 0 for no contact
+	}
+	engineSnapshot  struct{ state *directory.State }
+	enginePeerHello struct {
+		host, domain     string
+		incarnation      uint64
+		fenced, stopping bool
+	}
+	enginePeerMessage struct {
+		from    string
+		message flow.Message
+	}
+	engineProbe struct {
+		instance string
+		accepts  bool
+	}
+	engineStop   struct{}
+	engineStatus struct{ result *ring.Ring[Status] }
+)
+
+func (enginePackets) isEngineEvent()     {}
+func (engineTick) isEngineEvent()        {}
+func (engineEntries) isEngineEvent()     {}
+func (engineSnapshot) isEngineEvent()    {}
+func (enginePeerHello) isEngineEvent()   {}
+func (enginePeerMessage) isEngineEvent() {}
+func (engineProbe) isEngineEvent()       {}
+func (engineStop) isEngineEvent()        {}
+func (engineStatus) isEngineEvent()      {}
+
+// Status is a view of the entry host for telemetry and the stop.
+type Status struct {
+	Index            uint64
+	Fenced           bool
+	CutOff           bool
+	Flows            int
+	Records          int
+	HandoverComplete bool
+	FlowsLost        int
+	LastPacket       time.Duration // since the last packet from the fabric
+}
+
+// engineDuty owns the flow engine and the copy of the directory. It waits only
+// for the writer, which waits for nobody.
+type engineDuty struct {
+	log      *slog.Logger
+	self     *wirepb.Host
+	flow     *flow.Engine
+	state    *directory.State
+	fabric   netip.AddrPort
+	out      *ring.Ring[*batch]
+	control  *ring.Ring[controlEvent]
+	peers    *ring.Ring[peerCommand]
+	probes   *ring.Ring[[]probeTarget]
+	counters *counters
+	clock    func() time.Duration
+
+	names       names
+	heard       map[string]heardPeer
+	lastHello   time.Duration
+	lastSeen    time.Duration
+	acknowledge uint64
+	stopping    bool
+	status      Status
+}
+
+type heardPeer struct {
+	incarnation uint64
+	at          time.Duration
+	up          bool
+}
+
+func (d *engineDuty) handle(e engineEvent) error {
+	now := d.clock()
+	switch e := e.(type) {
+	case enginePackets:
+		d.packets(now, e.batch)
+		if _, err := d.out.Put(e.batch); err != nil {
+			return err
+		}
+	case engineTick:
+		d.tick(now)
+	case engineEntries:
+		d.entries(now, e)
+	case engineSnapshot:
+		if e.state.Index() > d.state.Index() {
+			d.log.Info("directory replaced by a snapshot", "from", d.state.Index(), "to", e.state.Index())
+			d.state = e.state
+			d.tableChanged(now)
+		}
+	case enginePeerHello:
+		d.hello(now, e)
+	case enginePeerMessage:
+		d.peerMessage(now, e.from, e.message)
+	case engineProbe:
+		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
+			d.flow.Heard(now, endpoint.ID, e.accepts)
+		}
+	case engineStop:
+		d.stopping = true
+		d.flow.Stop(now)
+		d.control.Offer(controlStop{})
+	case engineStatus:
+		e.result.Offer(d.report(now))
+	}
+	d.drain()
+	return nil
+}
+
+// entries applies log entries in order. A gap means that the control host
+// dropped a batch under load; the engine asks to be served anew from its index.
+func (d *engineDuty) entries(now time.Duration, e engineEntries) {
+	changed := false
+	for _, entry := range e.entries {
+		switch {
+		case entry.Index <= d.state.Index():
+			continue
+		case entry.Index != d.state.Index()+1:
+			d.log.Warn("gap in the followed log", "have", d.state.Index(), "got", entry.Index)
+			d.control.Offer(controlGap{})
+			return
+		}
+		d.state.Apply(entry)
+		changed = true
+	}
+	if changed {
+		d.tableChanged(now)
+	}
+	if e.contact > 0 {
+		d.flow.Contact(e.contact)
+	}
+}
+
+func (d *engineDuty) tableChanged(now time.Duration) {
+	d.flow.SetTable(now, newTable(d.state))
+	d.names.update(d.state)
+	targets := []peerTarget{}
+	for _, h := range d.state.Hosts() {
+		if h.Name != d.self.GetName() {
+			targets = append(targets, peerTarget{h.Name, h.Incarnation, h.PeerAddr.String()})
+		}
+	}
+	d.peers.Offer(peerCommand{targets: targets})
+	d.probes.Offer(d.probeTargets())
+}
+
+func (d *engineDuty) probeTargets() []probeTarget {
+	targets := []probeTarget{}
+	for _, id := range d.state.Endpoints() {
+		endpoint, _ := d.state.Endpoint(id)
+		if endpoint.State != directory.Removed && endpoint.Domain == d.self.GetDomain() && endpoint.HealthURL != "" {
+			targets = append(targets, probeTarget{instance: endpoint.Instance, url: endpoint.HealthURL})
+		}
+	}
+	return targets
+}
+
+func (d *engineDuty) tick(now time.Duration) {
+	d.flow.Tick(now)
+	for host, peer := range d.heard {
+		if peer.up && now-peer.at > peerTimeout {
+			peer.up = false
+			d.heard[host] = peer
+			d.log.Warn("peer lost", "peer", host)
+			d.flow.PeerDown(now, host)
+		}
+	}
+	if now-d.lastHello >= helloInterval {
+		d.lastHello = now
+		d.sayHello()
+	}
+}
+
+func (d *engineDuty) sayHello() {
+	hello := &wirepb.Envelope{Body: &wirepb.Envelope_PeerHello{PeerHello: &wirepb.PeerHello{
+		Host: d.self.GetName(), Domain: d.self.GetDomain(), Incarnation: d.self.GetIncarnation(),
+		Applied: d.state.Index(), Fenced: d.flow.Fenced(), Stopping: d.stopping,
+	}}}
+	for _, h := range d.state.Hosts() {
+		if h.Name != d.self.GetName() {
+			d.peers.Offer(peerCommand{to: h.Name, message: hello})
+		}
+	}
+	d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge})
+	if self, ok := d.state.Host(d.self.GetName()); ok && self.Incarnation == d.self.GetIncarnation() &&
+		self.State == directory.HostJoined && !d.stopping {
+		d.control.Offer(controlComplete{})
+	}
+}
+
+func (d *engineDuty) hello(now time.Duration, e enginePeerHello) {
+	known, ok := d.heard[e.host]
+	if !ok || !known.up || known.incarnation != e.incarnation {
+		d.log.Info("peer up", "peer", e.host, "incarnation", e.incarnation)
+		d.flow.PeerUp(now, e.host, e.incarnation, e.domain)
+	}
+	d.heard[e.host] = heardPeer{incarnation: e.incarnation, at: now, up: true}
+	d.flow.PeerFenced(now, e.host, e.fenced)
+}
+
+func (d *engineDuty) peerMessage(now time.Duration, from string, m flow.Message) {
+	switch {
+	case m.Batch != nil:
+		d.flow.Records(now, from, m.Batch)
+	case m.Ack != nil:
+		d.flow.RecordAck(now, from, *m.Ack)
+	case m.Suspects != nil:
+		d.flow.Suspects(now, from, m.Suspects)
+	case m.Done != nil:
+		d.flow.HandoverDone(now, *m.Done)
+	default:
+		d.flow.Hint(now, from, m.Hints)
+	}
+}
+
+// drain carries out what the flow engine wants done.
+func (d *engineDuty) drain() {
+	effects := d.flow.Ready()
+	for _, m := range effects.Messages {
+		d.peers.Offer(peerCommand{to: m.To, message: wire.PeerMessageToProto(m)})
+	}
+	if len(effects.Resets) > 0 {
+		d.sendResets(effects.Resets)
+	}
+	if effects.Acknowledge != d.acknowledge {
+		d.acknowledge = effects.Acknowledge
+		d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge})
+	}
+	if effects.RepairComplete {
+		d.log.Info("copies of records are whole")
+	}
+	d.status.HandoverComplete = d.status.HandoverComplete || effects.HandoverComplete
+	if effects.FlowsLost > 0 || effects.HoldingsLost > 0 {
+		d.status.FlowsLost += effects.FlowsLost
+		d.log.Error("records lost", "flows", effects.FlowsLost, "holdings", effects.HoldingsLost)
+	}
+}
+
+// sendResets ends silent flows towards their callers. The batch is not one of
+// the reader's; the writer lets it go when the ring of free batches is full.
+func (d *engineDuty) sendResets(resets []flow.Termination) {
+	b := newBatch()
+	for _, r := range resets[:min(len(resets), batchSize)] {
+		s := &b.slots[b.n]
+		h := packet.Headers{Src: r.Caller, Dst: r.Service, Protocol: protocolTCP, Flags: packet.ACK, Ack: r.Sequence}
+		inner, ok := packet.AppendReset(s.buffer[headroom:headroom], &h)
+		if !ok {
+			continue
+		}
+		s.start, s.end = headroom, headroom+len(inner)
+		d.wrap(s, d.fabric, nil)
+		b.n++
+	}
+	if _, err := d.out.Put(b); err != nil {
+		d.log.Warn("resets not sent", "error", err)
+	}
+}
+
+func (d *engineDuty) report(now time.Duration) Status {
+	s := d.status
+	s.Index, s.Fenced, s.CutOff = d.state.Index(), d.flow.Fenced(), d.flow.CutOff()
+	s.Flows, s.Records = d.flow.Held()
+	s.LastPacket = now - d.lastSeen
+	return s
+}
--- /dev/null
+++ b/internal/entry/io.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"cassiawood/internal/announce"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+)
+
+// readerDuty reads batches from the fabric. When no batch is free it stops
+// reading, and the kernel drops what exceeds the socket's buffer.
+type readerDuty struct {
+	socket *net.UDPConn
+	free   *ring.Ring[*batch]
+	engine *ring.Ring[engineEvent]
+}
+
+func (d *readerDuty) run(ctx context.Context, _ *duty.Progress) error {
+	stop := context.AfterFunc(ctx, func() { _ = d.socket.Close() })
+	defer stop()
+	conn := ipv4.NewPacketConn(d.socket)
+	for {
+		b, err := d.free.Get()
+		if err != nil {
+			return nil
+		}
+		if err := b.read(conn); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if _, err := d.engine.Put(enginePackets{batch: b}); err != nil {
+			return nil
+		}
+	}
+}
+
+// writerDuty sends batches and gives them back to the reader.
+type writerDuty struct {
+	conn *ipv4.PacketConn
+	free *ring.Ring[*batch]
+}
+
+func (d *writerDuty) handle(b *batch) error {
+	err := b.write(d.conn)
+	d.free.Offer(b)
+	if err != nil {
+		return fmt.Errorf("send packets: %w", err)
+	}
+	return nil
+}
+
+// probeTarget is a health endpoint to ask.
+type probeTarget struct{ instance, url string }
+
+// proberDuty asks the health endpoints of its failure domain in turn, one at a
+// time, and reports each answer to the engine and to the leader.
+type proberDuty struct {
+	prober  *announce.Prober
+	targets *ring.Ring[[]probeTarget]
+	engine  *ring.Ring[engineEvent]
+	control *ring.Ring[controlEvent]
+}
+
+// probeInterval is the time between two rounds. Three rounds fit into the 3 s in
+// which a leaving backend server must stop receiving new flows.
+const probeInterval = time.Second
+
+func (d *proberDuty) run(ctx context.Context, _ *duty.Progress) error {
+	current, err := d.targets.Get()
+	if err != nil {
+		return nil
+	}
+	for ctx.Err() == nil {
+		for _, t := range current {
+			healthy := d.prober.Healthy(ctx, t.url)
+			d.engine.Offer(engineProbe{instance: t.instance, accepts: healthy})
+			d.control.Offer(controlProbe{instance: t.instance, healthy: healthy})
+		}
+		for d.targets.Depth() > 0 {
+			if current, err = d.targets.Get(); err != nil {
+				return nil
+			}
+		}
+		sleep(ctx, probeInterval)
+	}
+	return nil
+}
+
+// sleep waits for the duration or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// tickInterval drives the timers of all duties. It divides the hello interval.
+const tickInterval = 100 * time.Millisecond
+
+// clockDuty puts ticks into the inboxes of the other duties. A full inbox loses
+// a tick, since the next one carries the later time.
+type clockDuty struct {
+	engine  *ring.Ring[engineEvent]
+	control *ring.Ring[controlEvent]
+	clock   func() time.Duration
+}
+
+func (d *clockDuty) run(ctx context.Context, _ *duty.Progress) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			now := d.clock()
+			d.engine.Offer(engineTick{now: now})
+			d.control.Offer(controlTick{now: now})
+		}
+	}
+}
+
+// submitter passes announcements to the leader.
+type submitter struct{ control *ring.Ring[controlEvent] }
+
+// Submit waits until the control link duty has an answer, which it always gives
+// within proposalTimeout.
+func (s submitter) Submit(_ context.Context, a announce.Announcement) error {
+	result := ring.New[proposalResult]("announcement", 1, ring.DropNewest)
+	if !s.control.Offer(controlPropose{request: wire.AnnouncementToProto(a), result: result}) {
+		return errNoLeader
+	}
+	answer, err := result.Get()
+	switch {
+	case err != nil:
+		return err
+	case answer.err != nil:
+		return answer.err
+	case !answer.accepted:
+		return &announce.RefusedError{Reason: answer.reason}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/packets.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/flow"
+	"cassiawood/internal/packet"
+)
+
+const protocolTCP = document.TCP
+
+// names maps the hashes in hand-off options back to names, and hosts to the
+// addresses that take packets.
+type names struct {
+	services map[uint64]string
+	hosts    map[uint64]string
+	address  map[string]netip.AddrPort
+}
+
+func (n *names) update(state *directory.State) {
+	n.services, n.hosts, n.address = map[uint64]string{}, map[uint64]string{}, map[string]netip.AddrPort{}
+	for _, name := range state.Services() {
+		n.services[packet.NameHash(name)] = name
+	}
+	for _, h := range state.Hosts() {
+		n.hosts[packet.NameHash(h.Name)] = h.Name
+		n.address[h.Name] = h.PacketAddr
+	}
+}
+
+// packets decides on each datagram of a batch and prepares what is to be sent.
+func (d *engineDuty) packets(now time.Duration, b *batch) {
+	d.lastSeen = now
+	for i := range b.n {
+		d.packet(now, &b.slots[i])
+	}
+}
+
+func (d *engineDuty) packet(now time.Duration, s *slot) {
+	var g packet.Geneve
+	var h packet.Headers
+	datagram := s.buffer[s.start:s.end]
+	err := packet.DecodeGeneve(datagram, &g)
+	if err == nil {
+		err = packet.Parse(g.Inner, &h)
+	}
+	if err != nil {
+		d.counters.malformed.Inc(1)
+		return
+	}
+	s.start = s.end - len(g.Inner)
+	s.end = s.start + h.TotalLen
+	p := flow.Packet{
+		Protocol: uint8(h.Protocol), Flags: uint8(h.Flags), Sequence: h.Seq, Ack: h.Ack, PayloadLen: h.PayloadLen,
+	}
+	if g.Handoff != nil && !d.readHandoff(g.Handoff, &p.Handoff) {
+		d.counters.malformed.Inc(1)
+		return
+	}
+	d.setDirection(&p, &h)
+	verdict := d.flow.Packet(now, &p)
+	d.carryOut(s, &h, &verdict)
+}
+
+// setDirection tells packets of callers from responses by the destination: only
+// a service's address is a destination of callers.
+func (d *engineDuty) setDirection(p *flow.Packet, h *packet.Headers) {
+	if _, ok := d.state.ServiceByAddress(h.Dst, h.Protocol); ok {
+		p.Direction, p.Caller, p.Service = flow.FromCaller, h.Src, h.Dst
+		return
+	}
+	p.Direction, p.Caller, p.Backend = flow.FromBackend, h.Dst, h.Src
+	if endpoint, ok := d.state.EndpointByAddress(h.Src); ok {
+		if service, ok := d.state.Service(endpoint.Service); ok {
+			p.Service = service.Address
+		}
+	}
+}
+
+func (d *engineDuty) readHandoff(option []byte, to *flow.Handoff) bool {
+	var h packet.Handoff
+	if packet.DecodeHandoff(option, &h) != nil {
+		return false
+	}
+	service, knownService := d.names.services[h.Service]
+	ingress, knownHost := d.names.hosts[h.Ingress]
+	if !knownService || !knownHost {
+		return false
+	}
+	*to = flow.Handoff{
+		Present: true, HasRecord: h.HasRecord, Hops: h.Hops, AskedLen: h.AskedLen, Bucket: h.Bucket,
+		Service: service, Ingress: ingress, AskedAt: h.AskedAt,
+	}
+	for i, domain := range h.Asked[:h.AskedLen] {
+		to.Asked[i] = flow.DomainID(domain)
+	}
+	if h.HasRecord {
+		to.Record = flow.Record{
+			State: flow.RecordState(h.Record.State), Endpoint: h.Record.Endpoint,
+			Sequence: h.Record.InitialSequence, Home: flow.DomainID(h.Record.Home),
+		}
+	}
+	return true
+}
+
+func writeHandoff(h *flow.Handoff) packet.Handoff {
+	out := packet.Handoff{
+		Hops: h.Hops, AskedLen: h.AskedLen, Service: packet.NameHash(h.Service), Ingress: packet.NameHash(h.Ingress),
+		AskedAt: h.AskedAt, Bucket: h.Bucket, HasRecord: h.HasRecord,
+	}
+	for i, domain := range h.Asked[:h.AskedLen] {
+		out.Asked[i] = uint32(domain)
+	}
+	if h.HasRecord {
+		out.Record = packet.Record{
+			Endpoint: h.Record.Endpoint, State: uint8(h.Record.State), InitialSequence: h.Record.Sequence,
+			Home: uint32(h.Record.Home),
+		}
+	}
+	return out
+}
+
+// carryOut turns a verdict into the datagram to send.
+func (d *engineDuty) carryOut(s *slot, h *packet.Headers, v *flow.Verdict) {
+	d.counters.count(v)
+	inner := s.buffer[s.start:s.end]
+	switch v.Action {
+	case flow.ForwardToBackend:
+		if packet.RewriteDst(inner, h, v.Address) == nil {
+			d.wrap(s, d.fabric, nil)
+		}
+	case flow.ForwardToCaller:
+		if packet.RewriteSrc(inner, h, v.Address) == nil {
+			d.wrap(s, d.fabric, nil)
+		}
+	case flow.HandOff:
+		if to, ok := d.names.address[v.Host]; ok {
+			option := writeHandoff(&v.Handoff)
+			d.wrap(s, to, &option)
+		}
+	case flow.Reset:
+		if reset, ok := packet.AppendReset(s.buffer[headroom:headroom], h); ok {
+			s.start, s.end = headroom, headroom+len(reset)
+			d.wrap(s, d.fabric, nil)
+		}
+	case flow.Drop:
+	}
+}
+
+// wrap puts a Geneve header before the inner packet of the slot.
+func (d *engineDuty) wrap(s *slot, to netip.AddrPort, handoff *packet.Handoff) {
+	var header [packet.MaxHeaderLen]byte
+	h := packet.AppendGeneve(header[:0], 0, handoff)
+	s.start -= len(h)
+	copy(s.buffer[s.start:], h)
+	s.to = to
+}
--- /dev/null
+++ b/internal/entry/peer_link.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// peerOutboxCapacity bounds the messages that wait for one peer. Batches of
+// records are repeated until they are confirmed, so a dropped one is only late.
+const peerOutboxCapacity = 1024
+
+// peerTarget is a peer that the directory lists.
+type peerTarget struct {
+	host        string
+	incarnation uint64
+	address     string
+}
+
+// peerCommand is a value in the inbox of the peers duty: either the set of
+// peers to keep links to, or a message for one of them.
+type peerCommand struct {
+	targets []peerTarget // nil for a message
+	to      string
+	message *wirepb.Envelope
+}
+
+// peers keeps one sending link for each peer that the directory lists.
+type peers struct {
+	log   *slog.Logger
+	tls   *tls.Config
+	links map[string]*peerLink
+	ctx   context.Context // ends the links; set before the duty starts
+}
+
+// peerLink sends to one incarnation of a peer.
+type peerLink struct {
+	target  peerTarget
+	outbox  *ring.Ring[*wirepb.Envelope]
+	tls     *tls.Config
+	session *wire.Session
+	stream  *wire.Stream
+}
+
+func (p *peers) handle(c peerCommand) error {
+	if c.targets != nil {
+		p.replace(c.targets)
+		return nil
+	}
+	if link, ok := p.links[c.to]; ok {
+		link.outbox.Offer(c.message)
+	}
+	return nil
+}
+
+func (p *peers) replace(targets []peerTarget) {
+	wanted := make(map[string]peerTarget, len(targets))
+	for _, t := range targets {
+		wanted[t.host] = t
+	}
+	for host, link := range p.links {
+		if wanted[host] != link.target {
+			link.outbox.Close()
+			delete(p.links, host)
+		}
+	}
+	for host, target := range wanted {
+		if _, ok := p.links[host]; ok {
+			continue
+		}
+		link := &peerLink{
+			target: target, tls: p.tls,
+			outbox: ring.New[*wirepb.Envelope]("peer-out-"+host, peerOutboxCapacity, ring.DropOldest),
+		}
+		p.links[host] = link
+		go link.run(p.ctx)
+	}
+}
+
+func (p *peers) close() {
+	for _, link := range p.links {
+		link.outbox.Close()
+	}
+}
+
+func (l *peerLink) run(ctx context.Context) {
+	defer l.disconnect()
+	for {
+		e, err := l.outbox.Get()
+		if err != nil {
+			return
+		}
+		if l.stream == nil && !l.connect(ctx) {
+			continue
+		}
+		if l.stream.Send(e) != nil {
+			l.disconnect()
+		}
+	}
+}
+
+func (l *peerLink) connect(ctx context.Context) bool {
+	session, err := wire.Dial(ctx, l.target.address, l.tls)
+	if err != nil {
+		return false
+	}
+	l.session = session
+	if l.stream, err = session.Open(); err != nil {
+		l.disconnect()
+		return false
+	}
+	return true
+}
+
+func (l *peerLink) disconnect() {
+	if l.session != nil {
+		_ = l.session.Close()
+	}
+	l.session, l.stream = nil, nil
+}
+
+// peerServer accepts the links of other entry hosts. Each stream begins with a
+// hello, which names the sender of what follows.
+type peerServer struct {
+	log      *slog.Logger
+	listener net.Listener
+	tls      *tls.Config
+	engine   *ring.Ring[engineEvent]
+}
+
+func (s *peerServer) run(ctx context.Context, _ *duty.Progress) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept peer: %w", err)
+		}
+		go s.serve(ctx, conn)
+	}
+}
+
+func (s *peerServer) serve(ctx context.Context, conn net.Conn) {
+	session, err := wire.Accept(conn, s.tls)
+	if err != nil {
+		s.log.Warn("peer refused", "from", conn.RemoteAddr(), "error", err)
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Accept()
+	if err != nil {
+		return
+	}
+	from := ""
+	for {
+		e, err := stream.Receive()
+		if err == nil {
+			err = s.dispatch(e, &from)
+		}
+		if err != nil {
+			s.log.Debug("peer link ended", "peer", from, "reason", err)
+			return
+		}
+	}
+}
+
+func (s *peerServer) dispatch(e *wirepb.Envelope, from *string) error {
+	if hello, ok := e.GetBody().(*wirepb.Envelope_PeerHello); ok {
+		*from = hello.PeerHello.GetHost()
+		_, err := s.engine.Put(enginePeerHello{
+			host: *from, domain: hello.PeerHello.GetDomain(), incarnation: hello.PeerHello.GetIncarnation(),
+			fenced: hello.PeerHello.GetFenced(), stopping: hello.PeerHello.GetStopping(),
+		})
+		return err
+	}
+	if *from == "" {
+		return fmt.Errorf("%T before the hello", e.GetBody())
+	}
+	m, err := wire.PeerMessageFromProto(e)
+	if err != nil {
+		return err
+	}
+	_, err = s.engine.Put(enginePeerMessage{from: *from, message: m})
+	return err
+}
