--- /dev/null
+++ b/internal/changelog/follower.go
@@ -0,0 +1,73 @@
+package changelog
+
+// replyKind marks the replies of a member that does not count for commit.
+func (n *Node) replyKind() Kind {
+	if n.hs.Rejoining {
+		return KindLearnerReply
+	}
+	return KindAppendReply
+}
+
+// handleAppend checks that the log holds the entry before the new ones and
+// takes them over.
+func (n *Node) handleAppend(m Message) {
+	if n.role == Leader || !follows(m) {
+		return
+	}
+	n.hearLeader(m.From)
+	reply := Message{Kind: n.replyKind(), To: m.From, Index: m.Index, Context: m.Context}
+	// What is committed is the same on all members, also where it is compacted.
+	if m.Index > n.log.commit && !n.log.matches(m.Index, m.LogTerm) {
+		reply.Reject = true
+		reply.LogTerm, reply.Hint = n.log.conflict(m.Index)
+		n.send(reply)
+		return
+	}
+	n.log.merge(m.Entries)
+	reply.Index = m.Index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, reply.Index))
+	reply.Kind = n.replyKind() // the commit may have ended the rejoin
+	n.send(reply)
+}
+
+// follows reports whether the entries of a message are in order, so that a
+// faulty message cannot tear the log.
+func follows(m Message) bool {
+	last, term := m.Index, m.LogTerm
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		if e.Index != last+1 || e.Term < term || e.Term > m.Term {
+			return false
+		}
+		last, term = e.Index, e.Term
+	}
+	return true
+}
+
+func (n *Node) commitTo(index uint64) {
+	if index = min(index, n.log.lastIndex()); index > n.log.commit {
+		n.log.commit = index
+		n.hs.Commit = index
+	}
+	n.endRejoin()
+}
+
+// handleSnapshot installs a snapshot, unless the log already holds its last entry.
+func (n *Node) handleSnapshot(m Message) {
+	s := m.Snapshot
+	if n.role == Leader || s == nil || s.Index == 0 || s.Term > m.Term {
+		return
+	}
+	n.hearLeader(m.From)
+	switch {
+	case s.Index <= n.log.commit:
+	case n.log.matches(s.Index, s.Term):
+		n.commitTo(s.Index)
+	default:
+		n.log.install(*s)
+		n.hs.Commit = s.Index
+		n.pending.snapshot, n.pending.install, n.pending.installed = s, true, n.pending.taken
+		n.endRejoin()
+	}
+	n.send(Message{Kind: n.replyKind(), To: m.From, Index: s.Index, Context: m.Context})
+}
--- /dev/null
+++ b/internal/changelog/leader.go
@@ -0,0 +1,188 @@
+package changelog
+
+import (
+	"slices"
+	"time"
+)
+
+// sendState is how a leader sends entries to one follower.
+type sendState uint8
+
+const (
+	probing      sendState = iota // the matching index is being looked for, with empty appends
+	streaming                     // entries are sent ahead of the replies
+	snapshotting                  // a snapshot was sent and is not confirmed yet
+)
+
+// progress is what the leader knows of one follower.
+type progress struct {
+	state    sendState
+	match    uint64   // last entry known to be stored
+	counted  uint64   // like match, but from replies that count for commit
+	next     uint64   // first entry to send
+	inflight []uint64 // last entries of the unanswered appends
+	since    uint64   // stamp at which the current probe began; older refusals are out of date
+	waiting  bool     // a probe is unanswered
+	sentAt   time.Duration
+	contact  time.Duration // when the latest answered message was sent
+
+	nonce     uint64 // of the follower's latest rejoin
+	lostStamp uint64 // replies to older messages come from before the loss of its disk
+}
+
+// probe starts to look for the matching index at next-1.
+func (n *Node) probe(pr *progress, next uint64) {
+	pr.state, pr.waiting, pr.inflight = probing, false, nil
+	pr.next = max(next, pr.match+1)
+	pr.since = n.stamp()
+}
+
+func (n *Node) tickLeader() {
+	if n.now-n.quorumContact() > n.cfg.ElectionMax {
+		n.becomeFollower(n.hs.Term, 0)
+		return
+	}
+	if n.now < n.nextHeartbeat {
+		return
+	}
+	n.nextHeartbeat = n.now + n.cfg.Heartbeat
+	for _, id := range n.others {
+		n.heartbeat(id, n.progress[id])
+	}
+}
+
+// heartbeat sends an empty append. Its consistency check also finds out that
+// earlier appends were lost.
+func (n *Node) heartbeat(id uint64, pr *progress) {
+	if pr.state != snapshotting {
+		n.sendAppend(id, pr, nil)
+		return
+	}
+	if n.now-pr.sentAt >= n.cfg.SnapshotRetry {
+		n.sendSnapshot(id, pr)
+		return
+	}
+	// Index 0 matches every log; the message only keeps the follower from an election.
+	n.send(Message{Kind: KindAppend, To: id, Context: n.stamp()})
+}
+
+// replicateAll sends each follower what it lacks, as far as its limits allow.
+func (n *Node) replicateAll() {
+	for _, id := range n.others {
+		n.replicate(id, n.progress[id])
+	}
+}
+
+func (n *Node) replicate(id uint64, pr *progress) {
+	switch {
+	case pr.state == snapshotting || pr.state == probing && pr.waiting:
+		return
+	case pr.state == probing || pr.next > n.log.lastIndex():
+		n.sendAppend(id, pr, nil)
+		return
+	}
+	for pr.state == streaming && pr.next <= n.log.lastIndex() && len(pr.inflight) < n.cfg.MaxInflight {
+		if pr.next <= n.log.base.index {
+			n.sendSnapshot(id, pr)
+			return
+		}
+		entries := n.log.batch(pr.next-1, n.log.lastIndex(), n.cfg.MaxBatchBytes)
+		n.sendAppend(id, pr, entries)
+		pr.next += uint64(len(entries))
+		pr.inflight = append(pr.inflight, pr.next-1)
+	}
+}
+
+func (n *Node) sendAppend(id uint64, pr *progress, entries []Entry) {
+	term, ok := n.log.term(pr.next - 1)
+	if !ok {
+		n.sendSnapshot(id, pr)
+		return
+	}
+	pr.waiting = true
+	n.send(Message{
+		Kind: KindAppend, To: id, Index: pr.next - 1, LogTerm: term, Commit: n.log.commit, Context: n.stamp(), Entries: entries,
+	})
+}
+
+func (n *Node) sendSnapshot(id uint64, pr *progress) {
+	snapshot := n.log.snapshot
+	pr.state, pr.sentAt, pr.inflight = snapshotting, n.now, nil
+	pr.next = snapshot.Index + 1
+	n.send(Message{Kind: KindSnapshot, To: id, Index: snapshot.Index, LogTerm: snapshot.Term, Context: n.stamp(), Snapshot: &snapshot})
+}
+
+// handleAppendReply processes the answer to an append or a snapshot.
+func (n *Node) handleAppendReply(m Message) {
+	if n.role != Leader {
+		return
+	}
+	pr := n.progress[m.From]
+	if m.Context < pr.lostStamp || m.Context > n.lastStamp {
+		return
+	}
+	counts := m.Kind == KindAppendReply
+	if counts {
+		pr.contact = max(pr.contact, min(time.Duration(m.Context), n.now))
+	}
+	if m.Reject {
+		if m.Context >= pr.since && pr.state != snapshotting {
+			n.probe(pr, n.nextProbe(m))
+			n.replicate(m.From, pr)
+		}
+		return
+	}
+	pr.match = max(pr.match, m.Index)
+	if counts && m.Index > pr.counted {
+		pr.counted = m.Index
+		n.advanceCommit()
+	}
+	n.confirm(pr, m)
+	if pr.next <= n.log.lastIndex() {
+		n.replicate(m.From, pr)
+	}
+}
+
+// confirm moves the sending state on after a successful reply.
+func (n *Node) confirm(pr *progress, m Message) {
+	switch pr.state {
+	case probing:
+		if m.Context >= pr.since {
+			pr.state, pr.next = streaming, pr.match+1
+		}
+	case snapshotting:
+		if pr.match >= pr.next-1 {
+			pr.state, pr.next = streaming, pr.match+1
+		}
+	case streaming:
+		pr.next = max(pr.next, pr.match+1)
+		pr.inflight = slices.DeleteFunc(pr.inflight, func(last uint64) bool { return last <= pr.match })
+	}
+}
+
+// nextProbe skips a whole term at a time: to the leader's last entry of the
+// term that conflicts, or else to the follower's first entry of that term.
+func (n *Node) nextProbe(m Message) uint64 {
+	if m.LogTerm != 0 && m.Index > 0 {
+		if last, ok := n.log.lastOfTerm(m.LogTerm, m.Index-1); ok {
+			return last + 1
+		}
+	}
+	return max(1, min(m.Hint, m.Index))
+}
+
+// advanceCommit commits the entries of the current term that a majority has
+// synced, and with them all earlier ones.
+func (n *Node) advanceCommit() {
+	counted := []uint64{n.log.stable}
+	for _, pr := range n.progress {
+		counted = append(counted, pr.counted)
+	}
+	slices.Sort(counted)
+	index := counted[len(counted)-n.quorum()]
+	if index > n.log.commit && n.log.matches(index, n.hs.Term) {
+		n.log.commit = index
+		n.hs.Commit = index
+		n.broadcast = true
+	}
+}
--- /dev/null
+++ b/internal/changelog/log.go
@@ -0,0 +1,176 @@
+package changelog
+
+import (
+	"fmt"
+	"time"
+)
+
+// mark identifies the entry before the first one kept.
+type mark struct {
+	index, term uint64
+	at          time.Duration
+}
+
+// entryLog holds the entries after base. Slices that it returns stay valid:
+// kept entries are never overwritten in place, because another duty may still
+// be storing them.
+type entryLog struct {
+	snapshot Snapshot
+	base     mark
+	entries  []Entry
+	commit   uint64
+	applied  uint64 // confirmed by Advance
+	handed   uint64 // last entry given to storage
+	stable   uint64 // last entry known to be synced
+}
+
+func newEntryLog(snapshot Snapshot, entries []Entry, commit uint64) (*entryLog, error) {
+	l := &entryLog{snapshot: snapshot, base: mark{snapshot.Index, snapshot.Term, snapshot.At}}
+	for _, e := range entries {
+		if e.Index <= snapshot.Index {
+			continue
+		}
+		last := l.last()
+		if e.Index != last.index+1 || e.Term < last.term || e.At < last.at {
+			return nil, fmt.Errorf("changelog: stored entry %d of term %d cannot follow entry %d of term %d",
+				e.Index, e.Term, last.index, last.term)
+		}
+		l.entries = append(l.entries, e)
+	}
+	l.commit = max(commit, snapshot.Index)
+	if l.commit > l.lastIndex() {
+		return nil, fmt.Errorf("changelog: stored commit index %d is after the last entry %d", commit, l.lastIndex())
+	}
+	l.applied = snapshot.Index
+	l.handed, l.stable = l.lastIndex(), l.lastIndex()
+	return l, nil
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.base.index + uint64(len(l.entries)) }
+
+func (l *entryLog) last() mark {
+	if len(l.entries) == 0 {
+		return l.base
+	}
+	e := &l.entries[len(l.entries)-1]
+	return mark{e.Index, e.Term, e.At}
+}
+
+// term returns the term of an entry, and false when the entry is compacted or absent.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base.index:
+		return l.base.term, true
+	case index < l.base.index || index > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[index-l.base.index-1].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// slice returns the entries after index from up to index to.
+func (l *entryLog) slice(from, to uint64) []Entry {
+	a, b := from-l.base.index, to-l.base.index
+	return l.entries[a:b:b]
+}
+
+// batch returns entries after index from, up to index to, of at most maxBytes
+// of data but at least one.
+func (l *entryLog) batch(from, to uint64, maxBytes int) []Entry {
+	all := l.slice(from, to)
+	size := 0
+	for i := range all {
+		size += len(all[i].Data)
+		if size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// truncateAfter removes the entries after index.
+func (l *entryLog) truncateAfter(index uint64) {
+	l.entries = append([]Entry(nil), l.slice(l.base.index, index)...)
+	l.handed, l.stable = min(l.handed, index), min(l.stable, index)
+}
+
+// merge adds entries of the leader that follow a matching entry and replaces
+// those that conflict. Committed entries cannot conflict and are skipped.
+func (l *entryLog) merge(entries []Entry) {
+	for i, e := range entries {
+		if e.Index <= l.commit || l.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= l.lastIndex() {
+			l.truncateAfter(e.Index - 1)
+		}
+		l.append(entries[i:]...)
+		return
+	}
+}
+
+// conflict describes why the entry index does not match: the term found there
+// and its first index, or 0 and the index after the last entry.
+func (l *entryLog) conflict(index uint64) (term, first uint64) {
+	term, ok := l.term(index)
+	if !ok {
+		return 0, l.lastIndex() + 1
+	}
+	for first = index; first > l.commit+1 && l.matches(first-1, term); {
+		first--
+	}
+	return term, first
+}
+
+// lastOfTerm returns the last index of term at or before index, and false
+// when the log holds none.
+func (l *entryLog) lastOfTerm(term, index uint64) (uint64, bool) {
+	for i := min(index, l.lastIndex()); i >= l.base.index; i-- {
+		t, _ := l.term(i)
+		if t == term {
+			return i, true
+		}
+		if t < term || i == 0 {
+			break
+		}
+	}
+	return 0, false
+}
+
+// upToDate reports whether a log that ends with (index, term) holds at least
+// what this one holds.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	last := l.last()
+	return term > last.term || term == last.term && index >= last.index
+}
+
+// compact replaces the entries up to index, but for the last keep of them, by a snapshot.
+func (l *entryLog) compact(index uint64, state []byte, keep uint64) error {
+	if index <= l.snapshot.Index || index > l.applied {
+		return fmt.Errorf("changelog: cannot compact at entry %d: last snapshot %d, last applied entry %d",
+			index, l.snapshot.Index, l.applied)
+	}
+	e := l.entries[index-l.base.index-1]
+	l.snapshot = Snapshot{Index: index, Term: e.Term, At: e.At, State: state}
+	if index-l.base.index <= keep {
+		return nil
+	}
+	cut := index - keep - l.base.index
+	e = l.entries[cut-1]
+	l.entries = append([]Entry(nil), l.entries[cut:]...)
+	l.base = mark{e.Index, e.Term, e.At}
+	return nil
+}
+
+// install replaces the whole log by a snapshot.
+func (l *entryLog) install(s Snapshot) {
+	*l = entryLog{
+		snapshot: s, base: mark{s.Index, s.Term, s.At}, commit: s.Index, applied: s.Index, handed: s.Index, stable: s.Index,
+	}
+}
--- /dev/null
+++ b/internal/changelog/node.go
@@ -0,0 +1,284 @@
+package changelog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// maxApplyBytes bounds the committed entries of one Ready, so that a member
+// that catches up keeps answering messages.
+const maxApplyBytes = 1 << 20
+
+// Node is one member of the group. It is used by one goroutine.
+type Node struct {
+	cfg    Config
+	others []uint64
+	random *rand.Rand
+
+	now     time.Duration
+	started bool // the first Tick has passed
+
+	hs     HardState
+	log    *entryLog
+	role   Role
+	leader uint64
+
+	leaderContact    time.Duration // when the leader was last heard; -1 for never
+	electionDeadline time.Duration
+	campaign         uint64          // Context of the current vote requests
+	votes            map[uint64]bool // members that granted the current request
+
+	progress      map[uint64]*progress // leader only
+	lastStamp     uint64
+	nextHeartbeat time.Duration
+	broadcast     bool // entries or a commit index wait to be sent
+
+	rejoin rejoin
+
+	messages []Message
+	storedHS HardState // last one given to storage
+	pending  pending
+}
+
+// pending holds what is taken or waits between Ready and Advance.
+type pending struct {
+	taken     bool
+	handed    uint64
+	applied   uint64
+	snapshot  *Snapshot // to store
+	install   bool
+	installed bool // a snapshot was installed after the last Ready
+}
+
+// New returns a member that continues from what its storage holds. Entries
+// that the snapshot covers are ignored.
+func New(cfg Config, hs HardState, snapshot Snapshot, entries []Entry) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	log, err := newEntryLog(snapshot, entries, hs.Commit)
+	if err != nil {
+		return nil, err
+	}
+	lost := hs == HardState{} && log.lastIndex() == 0
+	n := &Node{
+		cfg: cfg, log: log, hs: hs, storedHS: hs, leaderContact: -1,
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
+	}
+	for _, id := range cfg.Members {
+		if id != cfg.ID {
+			n.others = append(n.others, id)
+		}
+	}
+	if lost && cfg.Rejoining && len(n.others) > 0 {
+		n.hs.Rejoining = true
+	}
+	if n.log.last().term > hs.Term {
+		// The crash came between storing a snapshot and the hard state; nothing
+		// was promised in the newer term.
+		n.hs.Term, n.hs.Vote = n.log.last().term, 0
+	}
+	n.hs.Commit = n.log.commit
+	return n, nil
+}
+
+// Tick passes the time since the Unix epoch, from a clock that does not jump
+// while the process runs. A time before the last one is ignored.
+func (n *Node) Tick(now time.Duration) {
+	if n.started && now < n.now {
+		return
+	}
+	n.now = now
+	if !n.started {
+		n.started = true
+		n.resetElectionDeadline()
+		n.startRejoin()
+	}
+	switch {
+	case n.role == Leader:
+		n.tickLeader()
+	case n.hs.Rejoining:
+		n.tickRejoin()
+	case n.now >= n.electionDeadline:
+		n.startPreVote()
+	}
+}
+
+// Propose appends data to the log of the leader. The entry is committed when
+// an entry with this index and term appears in Committed; when the index
+// appears with another term, the proposal is lost.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, NotLeaderError{Leader: n.leader}
+	}
+	if waiting := int(n.log.lastIndex() - n.log.commit); waiting >= n.cfg.MaxUncommitted {
+		return 0, 0, BusyError{Waiting: waiting, Limit: n.cfg.MaxUncommitted}
+	}
+	index = n.appendOwn(data)
+	return index, n.hs.Term, nil
+}
+
+// appendOwn appends an entry of the leader's term. At never goes back, even
+// when the leader's clock is behind that of an earlier leader.
+func (n *Node) appendOwn(data []byte) uint64 {
+	last := n.log.last()
+	n.log.append(Entry{Index: last.index + 1, Term: n.hs.Term, At: max(n.now, last.at), Data: data})
+	n.broadcast = true
+	return last.index + 1
+}
+
+// Step handles a message from another member.
+func (n *Node) Step(m Message) {
+	if m.To != n.cfg.ID || !slices.Contains(n.others, m.From) {
+		return
+	}
+	switch m.Kind {
+	case KindPreVote:
+		n.handlePreVote(m)
+		return
+	case KindPreVoteReply:
+		n.handlePreVoteReply(m)
+		return
+	case KindJoin:
+		n.handleJoin(m)
+		return
+	case KindJoinReply:
+		n.handleJoinReply(m)
+		return
+	}
+	if m.Term > n.hs.Term {
+		n.becomeFollower(m.Term, 0)
+	}
+	if m.Term < n.hs.Term {
+		n.refuseOldTerm(m)
+		return
+	}
+	switch m.Kind {
+	case KindVote:
+		n.handleVote(m)
+	case KindVoteReply:
+		n.handleVoteReply(m)
+	case KindAppend:
+		n.handleAppend(m)
+	case KindSnapshot:
+		n.handleSnapshot(m)
+	case KindAppendReply, KindLearnerReply:
+		n.handleAppendReply(m)
+	}
+}
+
+// refuseOldTerm tells a deposed leader or late candidate the current term.
+func (n *Node) refuseOldTerm(m Message) {
+	switch m.Kind {
+	case KindAppend, KindSnapshot:
+		n.send(Message{Kind: n.replyKind(), To: m.From, Reject: true, Context: m.Context, Index: m.Index, Hint: m.Index})
+	case KindVote:
+		if !n.hs.Rejoining {
+			n.send(Message{Kind: KindVoteReply, To: m.From, Reject: true, Context: m.Context})
+		}
+	}
+}
+
+// send queues a message of the current term.
+func (n *Node) send(m Message) {
+	m.From = n.cfg.ID
+	if m.Term == 0 {
+		m.Term = n.hs.Term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// HasReady reports whether Ready would return something to do. It is false
+// between Ready and Advance.
+func (n *Node) HasReady() bool {
+	return !n.pending.taken && (len(n.messages) > 0 || n.broadcast || n.pending.snapshot != nil ||
+		n.log.handed < n.log.lastIndex() || n.log.applied < n.log.commit || n.hardStateChanged())
+}
+
+// hardStateChanged leaves out Commit, which needs no sync of its own.
+func (n *Node) hardStateChanged() bool {
+	stored := n.storedHS
+	stored.Commit = n.hs.Commit
+	return stored != n.hs
+}
+
+// Ready takes what has to be stored, sent and applied. The next Ready may be
+// taken after Advance; Step, Tick and Propose may be called in between.
+func (n *Node) Ready() Ready {
+	if n.pending.taken {
+		return Ready{}
+	}
+	if n.broadcast && n.role == Leader {
+		n.replicateAll()
+	}
+	n.broadcast = false
+	r := Ready{Messages: n.messages, Snapshot: n.pending.snapshot, Install: n.pending.install}
+	n.messages = nil
+	if last := n.log.lastIndex(); n.log.handed < last {
+		r.Entries = n.log.slice(n.log.handed, last)
+		n.log.handed = last
+	}
+	if n.hardStateChanged() || len(r.Entries) > 0 || r.Snapshot != nil {
+		hs := n.hs
+		r.HardState, n.storedHS = &hs, hs
+	}
+	if n.log.applied < n.log.commit {
+		r.Committed = n.log.batch(n.log.applied, n.log.commit, maxApplyBytes)
+	}
+	n.pending = pending{taken: true, handed: n.log.handed, applied: n.log.applied + uint64(len(r.Committed))}
+	return r
+}
+
+// Advance confirms that the last Ready is stored, synced, sent and applied.
+func (n *Node) Advance() {
+	if !n.pending.taken {
+		return
+	}
+	p := n.pending
+	n.pending.taken, n.pending.installed = false, false
+	if p.installed {
+		return // the installed snapshot has replaced what the Ready was about
+	}
+	n.log.applied = p.applied
+	// A conflicting entry may have replaced entries that were being stored.
+	n.log.stable = max(n.log.stable, min(p.handed, n.log.handed))
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Compact takes over the application's state after the entry index, which
+// must be applied, and drops the entries that it covers.
+func (n *Node) Compact(index uint64, state []byte) error {
+	if err := n.log.compact(index, state, uint64(n.cfg.KeepEntries)); err != nil {
+		return err
+	}
+	snapshot := n.log.snapshot
+	n.pending.snapshot = &snapshot
+	return nil
+}
+
+// Status returns the current state of the member.
+func (n *Node) Status() Status {
+	s := Status{
+		ID: n.cfg.ID, Role: n.role, Leader: n.leader, Term: n.hs.Term, Commit: n.log.commit, Applied: n.log.applied,
+		LastIndex: n.log.lastIndex(), Rejoining: n.hs.Rejoining, LastContact: n.leaderContact,
+	}
+	if n.role == Leader {
+		s.LastContact = n.quorumContact()
+		s.Match = map[uint64]uint64{n.cfg.ID: n.log.stable}
+		for id, pr := range n.progress {
+			s.Match[id] = pr.match
+		}
+	}
+	return s
+}
+
+// String names the member, its role and its position for logs.
+func (n *Node) String() string {
+	return fmt.Sprintf("member %d: %v, term %d, commit %d, last entry %d",
+		n.cfg.ID, n.role, n.hs.Term, n.log.commit, n.log.lastIndex())
+}
--- /dev/null
+++ b/internal/changelog/wal/cluster_test.go
@@ -0,0 +1,337 @@
+package wal_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/changelog/wal"
+)
+
+const (
+	millisecond  = time.Millisecond
+	compactEvery = 20
+)
+
+// cluster runs members with virtual time, a lossy network and storage that
+// keeps only synced data. It checks the safety of the log at each step.
+type cluster struct {
+	random  *rand.Rand
+	now     time.Duration
+	members []*member
+	net     map[time.Duration][]changelog.Message // by time of arrival
+	cut     map[uint64]bool                       // members without contact to the others
+	loss    float64
+
+	leaders   map[uint64]uint64          // term -> leader
+	committed map[uint64]changelog.Entry // index -> entry
+	states    map[uint64]string          // index -> state of the application after it
+	acked     map[uint64]changelog.Entry
+	proposals int
+}
+
+type member struct {
+	c       *cluster
+	id      uint64
+	node    *changelog.Node
+	disk    *fakeFS
+	storage *wal.Storage
+	state   string
+	lives   uint64
+	down    time.Duration // restarts then; 0 while it runs
+	frozen  time.Duration // handles nothing until then
+	rest    func()        // rest of the Ready that a freeze interrupted
+	doubled time.Duration // sends each message twice until then
+	late    time.Duration // sends messages late until then
+	waiting map[uint64]uint64
+	atStep  func(step string) bool // reports whether to stop the work on this Ready
+}
+
+func newCluster(size int, seed uint64) *cluster {
+	c := &cluster{
+		random: rand.New(rand.NewPCG(seed, uint64(size))), now: time.Hour, loss: 0.01,
+		net: map[time.Duration][]changelog.Message{}, cut: map[uint64]bool{}, leaders: map[uint64]uint64{}, committed: map[uint64]changelog.Entry{},
+		states: map[uint64]string{}, acked: map[uint64]changelog.Entry{},
+	}
+	for id := range uint64(size) {
+		c.members = append(c.members, &member{c: c, id: id + 1, disk: newFakeFS()})
+	}
+	for _, m := range c.members {
+		m.start(false)
+	}
+	return c
+}
+
+func (m *member) start(rejoining bool) {
+	storage, rec, err := wal.Open(m.disk)
+	Expect(err).NotTo(HaveOccurred(), "member %d", m.id)
+	m.lives++
+	cfg := changelog.Config{ID: m.id, Seed: m.c.random.Uint64(), Rejoining: rejoining, MaxBatchBytes: 100, KeepEntries: 5}
+	for _, other := range m.c.members {
+		cfg.Members = append(cfg.Members, other.id)
+	}
+	m.node, err = changelog.New(cfg, rec.HardState, rec.Snapshot, rec.Entries)
+	Expect(err).NotTo(HaveOccurred(), "member %d", m.id)
+	m.storage, m.state, m.waiting = storage, string(rec.Snapshot.State), map[uint64]uint64{}
+	m.down, m.frozen, m.rest = 0, 0, nil
+	m.node.Tick(m.c.now)
+}
+
+func (m *member) crash(lostDisk bool) {
+	m.node, m.down, m.atStep = nil, m.c.now+400*millisecond, nil
+	m.disk.crash(m.c.random)
+	if lostDisk {
+		m.disk = newFakeFS()
+	}
+}
+
+func (m *member) step(name string) bool { return m.atStep != nil && m.atStep(name) }
+
+// work stores, sends and applies what is ready.
+func (m *member) work() {
+	for m.node != nil && m.frozen == 0 && m.node.HasReady() {
+		r := m.node.Ready()
+		if m.step("before write") {
+			m.rest = func() { m.store(r) }
+			return
+		}
+		m.store(r)
+	}
+}
+
+func (m *member) store(r changelog.Ready) {
+	if r.NeedsStorage() {
+		if r.Install && m.step("during install") {
+			m.rest = func() { m.store(r) }
+			return
+		}
+		if err := m.storage.Save(r); err != nil {
+			Expect(err).To(MatchError(errInjected))
+			if m.down == 0 {
+				m.crash(false)
+			}
+			return
+		}
+	}
+	if m.step("after sync") {
+		m.rest = func() { m.answer(r) }
+		return
+	}
+	m.answer(r)
+}
+
+func (m *member) answer(r changelog.Ready) {
+	for _, msg := range r.Messages {
+		m.c.send(m, msg)
+	}
+	if len(r.Messages) > 0 && m.step("after answer") {
+		m.rest = func() { m.apply(r) }
+		return
+	}
+	m.apply(r)
+}
+
+func (m *member) apply(r changelog.Ready) {
+	if r.Install {
+		m.state = string(r.Snapshot.State)
+		m.c.checkState(r.Snapshot.Index, m.state)
+	}
+	for _, e := range r.Committed {
+		hash := fnv.New64a()
+		fmt.Fprint(hash, m.state, e.Index, e.Term, e.At, string(e.Data))
+		m.state = fmt.Sprintf("%x", hash.Sum64())
+		m.c.checkCommitted(e)
+		m.c.checkState(e.Index, m.state)
+		if term, ok := m.waiting[e.Index]; ok && term == e.Term {
+			m.c.acked[e.Index] = e
+		}
+	}
+	m.node.Advance()
+	if applied := m.node.Status().Applied; applied > 0 && len(r.Committed) > 0 && applied%compactEvery == 0 {
+		Expect(m.node.Compact(applied, []byte(m.state))).To(Succeed())
+	}
+}
+
+func (c *cluster) checkCommitted(e changelog.Entry) {
+	known, ok := c.committed[e.Index]
+	if ok && (known.Term != e.Term || known.At != e.At || string(known.Data) != string(e.Data)) {
+		Expect(e).To(Equal(known), "a committed entry changed")
+	}
+	c.committed[e.Index] = e
+}
+
+func (c *cluster) checkState(index uint64, state string) {
+	if known, ok := c.states[index]; ok && known != state {
+		Expect(state).To(Equal(known), "states differ after entry %d", index)
+	}
+	c.states[index] = state
+}
+
+func (c *cluster) send(from *member, m changelog.Message) {
+	copies := 1
+	if c.now < from.doubled || c.random.Float64() < 0.01 {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(1+c.random.IntN(9)) * millisecond
+		if c.now < from.late {
+			delay += time.Duration(c.random.IntN(1000)) * millisecond
+		}
+		if c.random.Float64() >= c.loss {
+			c.net[c.now+delay] = append(c.net[c.now+delay], m)
+		}
+	}
+}
+
+func (c *cluster) member(id uint64) *member { return c.members[id-1] }
+
+func (c *cluster) deliver() {
+	for _, m := range c.net[c.now] {
+		switch to := c.member(m.To); {
+		case to.frozen != 0:
+			c.net[to.frozen] = append(c.net[to.frozen], m)
+		case to.node != nil && !c.cut[m.From] && !c.cut[m.To]:
+			to.node.Step(m)
+		}
+	}
+	delete(c.net, c.now)
+}
+
+// run lets virtual time pass, with a proposal every 20 ms.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += millisecond
+		for _, m := range c.members {
+			c.wake(m)
+		}
+		c.deliver()
+		for _, m := range c.members {
+			if m.node == nil || m.frozen != 0 {
+				continue
+			}
+			if c.now%(10*millisecond) == 0 {
+				m.node.Tick(c.now)
+			}
+			if c.now%(20*millisecond) == 0 {
+				m.propose()
+			}
+			if m.node.HasReady() {
+				m.work()
+				c.checkLeader(m)
+			}
+		}
+	}
+}
+
+func (c *cluster) wake(m *member) {
+	if m.down != 0 && c.now >= m.down {
+		m.start(true)
+	}
+	if m.frozen != 0 && c.now >= m.frozen {
+		rest := m.rest
+		m.frozen, m.rest = 0, nil
+		if rest != nil {
+			rest()
+		}
+	}
+}
+
+func (m *member) propose() {
+	m.c.proposals++
+	if index, term, err := m.node.Propose(fmt.Appendf(nil, "proposal %d", m.c.proposals)); err == nil {
+		m.waiting[index] = term
+	}
+}
+
+func (c *cluster) checkLeader(m *member) {
+	if m.node == nil {
+		return
+	}
+	if s := m.node.Status(); s.Role == changelog.Leader {
+		if known, ok := c.leaders[s.Term]; ok && known != s.ID {
+			Expect(s.ID).To(Equal(known), "two leaders in term %d", s.Term)
+		}
+		c.leaders[s.Term] = s.ID
+	}
+}
+
+// leader returns the leader of the highest term.
+func (c *cluster) leader() *member {
+	var found *member
+	for _, m := range c.members {
+		if m.node != nil && m.node.Status().Role == changelog.Leader &&
+			(found == nil || m.node.Status().Term > found.node.Status().Term) {
+			found = m
+		}
+	}
+	Expect(found).NotTo(BeNil(), "no leader")
+	return found
+}
+
+func (c *cluster) follower() *member {
+	leader := c.leader()
+	return c.members[leader.id%uint64(len(c.members))]
+}
+
+// checkRepaired expects that all members run as voters with the same log, that
+// it holds all acknowledged proposals, and that new ones are acknowledged.
+func (c *cluster) checkRepaired() {
+	before := len(c.acked)
+	c.run(500 * millisecond)
+	Expect(len(c.acked)).To(BeNumerically(">", before), "no proposal is acknowledged")
+	c.loss = 0
+	for range 20 { // the last commit index travels with the next heartbeat
+		c.run(100 * millisecond)
+	}
+	c.loss = 0.01
+	leader := c.leader().node.Status()
+	for _, m := range c.members {
+		Expect(m.node).NotTo(BeNil(), "member %d is down", m.id)
+		s := m.node.Status()
+		Expect(s.Rejoining).To(BeFalse(), "member %d has not rejoined", m.id)
+		Expect(s.Commit).To(BeNumerically(">=", leader.Commit-5), "member %d lags", m.id)
+	}
+	for index, e := range c.acked {
+		c.checkCommitted(e)
+		if index > leader.Commit {
+			Expect(index).To(BeNumerically("<=", leader.Commit), "acknowledged entry %d is lost", index)
+		}
+	}
+	c.checkLogsMatch()
+}
+
+// checkLogsMatch compares the synced logs: where index and term are equal, the
+// entry and all before it are.
+func (c *cluster) checkLogsMatch() {
+	type key struct{ index, term uint64 }
+	type value struct{ entry, before changelog.Entry }
+	seen := map[key]value{}
+	for _, m := range c.members {
+		disk := newFakeFS()
+		for name, node := range m.disk.live {
+			disk.live[name] = &inode{data: slices.Clone(node.synced)}
+		}
+		_, rec, err := wal.Open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		for i, e := range rec.Entries {
+			v, k := value{entry: e}, key{e.Index, e.Term}
+			if i > 0 {
+				v.before = rec.Entries[i-1]
+			}
+			if known, ok := seen[k]; ok {
+				if i == 0 || known.before.Index == 0 {
+					v.before = known.before
+				}
+				if fmt.Sprint(v) != fmt.Sprint(known) {
+					Expect(v).To(Equal(known), "logs differ up to entry %d", e.Index)
+				}
+			}
+			seen[k] = v
+		}
+	}
+}
--- /dev/null
+++ b/internal/changelog/wal/fs.go
@@ -0,0 +1,90 @@
+// Package wal stores hard state, log and snapshot of a member in one folder
+// of checksummed files.
+package wal
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// FS is the folder that holds the files. Names have no path.
+type FS interface {
+	List() ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	Create(name string) (File, error)           // empties a file that exists
+	Append(name string, at int64) (File, error) // cuts an existing file to size at and continues there
+	Rename(from, to string) error               // replaces to
+	Remove(name string) error
+	SyncDir() error // makes created, renamed and removed names durable
+}
+
+// File is a file open for writing.
+type File interface {
+	io.Writer
+	Sync() error
+	Close() error
+}
+
+// Dir is the FS of a folder of the operating system.
+type Dir string
+
+// NewDir creates the folder if it is absent and makes its name durable.
+func NewDir(path string) (Dir, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return "", err
+	}
+	return Dir(path), syncFolder(filepath.Dir(filepath.Clean(path)))
+}
+
+// List returns the names of the regular files.
+func (d Dir) List() ([]string, error) {
+	found, err := os.ReadDir(string(d))
+	var names []string
+	for _, f := range found {
+		if f.Type().IsRegular() {
+			names = append(names, f.Name())
+		}
+	}
+	return names, err
+}
+
+// ReadFile returns the content of a file.
+func (d Dir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
+
+// Create opens an empty file.
+func (d Dir) Create(name string) (File, error) {
+	return os.OpenFile(d.path(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+}
+
+// Append opens a file at the offset at and removes what follows.
+func (d Dir) Append(name string, at int64) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Truncate(at); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// Rename gives a file another name and replaces the file that has it.
+func (d Dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+// Remove removes a file.
+func (d Dir) Remove(name string) error { return os.Remove(d.path(name)) }
+
+// SyncDir syncs the folder itself.
+func (d Dir) SyncDir() error { return syncFolder(string(d)) }
+
+func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
--- /dev/null
+++ b/internal/changelog/wal/matrix_test.go
@@ -0,0 +1,159 @@
+package wal_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog"
+)
+
+func TestWal(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "changelog storage and cluster")
+}
+
+var faults = []struct {
+	name  string
+	apply func(m *member)
+}{
+	{"crash", func(m *member) { m.crash(false) }},
+	{"loss of disk", func(m *member) { m.crash(true) }},
+	{"partition", func(m *member) { m.c.cut[m.id] = true }},
+	{"freeze", func(m *member) { m.frozen = m.c.now + time.Second }},
+	{"messages doubled", func(m *member) { m.doubled = m.c.now + time.Second }},
+	{"messages late", func(m *member) { m.late = m.c.now + time.Second }},
+}
+
+// steps are points in the work on a Ready. Those with at are inside Save, at a
+// file operation.
+var steps = []struct {
+	name string
+	at   func(op, name string) bool
+}{
+	{"before write", nil},
+	{"after sync", nil},
+	{"after answer", nil},
+	{"during install", nil},
+	{"after write", func(op, name string) bool { return op == "sync" && strings.HasPrefix(name, "log-") }},
+	{"during snapshot write", func(op, name string) bool { return op == "sync" && name == "snapshot.tmp" }},
+	{"during snapshot rename", func(op, name string) bool { return op == "rename" }},
+	{"after snapshot rename", func(op, name string) bool { return op == "syncdir" }},
+	{"during log rotation", func(op, name string) bool { return op == "create" && strings.HasPrefix(name, "log-") }},
+}
+
+// inject makes a fault happen the next time that m passes the step.
+func inject(m *member, step string, at func(op, name string) bool, fault func(*member), fired *bool) {
+	fire := func() (stopped bool) {
+		*fired = true
+		m.atStep, m.disk.before = nil, nil
+		fault(m)
+		return m.down != 0 || m.frozen != 0
+	}
+	if at == nil {
+		m.atStep = func(at string) bool { return at == step && fire() }
+		return
+	}
+	m.disk.before = func(op, name string) error {
+		if at(op, name) && fire() && m.down != 0 {
+			return errInjected
+		}
+		return nil
+	}
+}
+
+var _ = Describe("fault matrix", func() {
+	for _, step := range steps {
+		for _, fault := range faults {
+			// Guards against a promise that is sent before it is synced, files that
+			// a crash leaves in a state that loses entries or votes, and a second
+			// loss right after the repair of the first one.
+			It(step.name+": "+fault.name, func() {
+				for seed := range uint64(4) {
+					By(fmt.Sprintf("seed %d", seed))
+					runFault(step.name, step.at, fault.apply, seed)
+				}
+			})
+		}
+	}
+})
+
+func runFault(step string, at func(op, name string) bool, fault func(*member), seed uint64) {
+	c := newCluster(3+2*int(seed%2), seed)
+	c.run(time.Second)
+	target := c.leader()
+	if seed%3 != 0 || step == "during install" {
+		target = c.follower()
+	}
+	if step == "during install" {
+		c.cut[target.id] = true
+		c.run(3 * time.Second)
+		delete(c.cut, target.id)
+	}
+	fired := false
+	inject(target, step, at, fault, &fired)
+	c.run(2 * time.Second)
+	Expect(fired).To(BeTrue(), "the step was not reached")
+	delete(c.cut, target.id)
+	c.run(3 * time.Second)
+	c.checkRepaired()
+	other := c.members[target.id%uint64(len(c.members))]
+	other.crash(true)
+	c.run(4 * time.Second)
+	c.checkRepaired()
+}
+
+var _ = Describe("cluster", func() {
+	// Guards against a member that raises its term while it is cut off and then
+	// deposes a leader that works.
+	It("is not disturbed by a member that returns after a long time", func() {
+		for seed := range uint64(5) {
+			c := newCluster(5, seed)
+			c.run(time.Second)
+			c.cut[c.follower().id] = true
+			leader := c.leader()
+			term := leader.node.Status().Term
+			c.run(30 * time.Second)
+			clear(c.cut)
+			c.run(3 * time.Second)
+			Expect(c.leader()).To(BeIdenticalTo(leader), "seed %d", seed)
+			Expect(leader.node.Status().Term).To(Equal(term), "seed %d", seed)
+			c.checkRepaired()
+		}
+	})
+
+	// Guards against a leader on the small side of a partition that keeps
+	// accepting proposals which can never be committed.
+	It("makes a leader without quorum contact step down and refuse proposals", func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		old := c.leader()
+		c.cut[old.id] = true
+		c.run(time.Second)
+		Expect(old.node.Status().Role).NotTo(Equal(changelog.Leader))
+		_, _, err := old.node.Propose([]byte("x"))
+		Expect(err).To(BeAssignableToTypeOf(changelog.NotLeaderError{}))
+		Expect(c.leader()).NotTo(BeIdenticalTo(old))
+	})
+
+	// Guards against a restart that replays the log differently from the first
+	// run, across snapshots and changes of leader.
+	It("has the same state after a restart with several hundred entries", func() {
+		c := newCluster(3, 2)
+		for range 4 {
+			c.run(3 * time.Second)
+			c.leader().crash(false)
+		}
+		c.run(2 * time.Second)
+		Expect(len(c.acked)).To(BeNumerically(">", 400))
+		for _, m := range c.members {
+			m.crash(false)
+		}
+		c.run(2 * time.Second)
+		c.checkRepaired()
+	})
+})
--- /dev/null
+++ b/internal/changelog/wal/open.go
@@ -0,0 +1,209 @@
+package wal
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"cassiawood/internal/changelog"
+)
+
+const (
+	segmentFormat = "log-%016d"
+	segmentPrefix = "log-"
+	snapshotName  = "snapshot"
+	snapshotTemp  = "snapshot.tmp"
+)
+
+// Recovered is what Open found.
+type Recovered struct {
+	HardState changelog.HardState
+	Snapshot  changelog.Snapshot
+	Entries   []changelog.Entry
+
+	// TornBytes were cut off the end of the file TornFile: a write that was
+	// not synced before a crash.
+	TornFile  string
+	TornBytes int
+}
+
+// Open reads the folder, removes a torn last record and returns a storage that
+// continues after it.
+func Open(fs FS) (*Storage, Recovered, error) {
+	names, err := fs.List()
+	if err != nil {
+		return nil, Recovered{}, fmt.Errorf("wal: listing files: %w", err)
+	}
+	if slices.Contains(names, snapshotTemp) {
+		if err := fs.Remove(snapshotTemp); err != nil {
+			return nil, Recovered{}, fmt.Errorf("wal: removing an unfinished snapshot: %w", err)
+		}
+	}
+	s := &Storage{fs: fs}
+	var rec Recovered
+	if slices.Contains(names, snapshotName) {
+		if rec.Snapshot, err = readSnapshot(fs); err != nil {
+			return nil, Recovered{}, err
+		}
+	}
+	r := replay{s: s, rec: &rec, last: rec.Snapshot.Index}
+	if err := r.segments(names); err != nil {
+		return nil, Recovered{}, err
+	}
+	s.hs = rec.HardState
+	stale, err := r.stale()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if err := s.resume(r.tail, stale, &rec); err != nil {
+		return nil, Recovered{}, fmt.Errorf("wal: opening the log for writing: %w", err)
+	}
+	return s, rec, nil
+}
+
+func readSnapshot(fs FS) (changelog.Snapshot, error) {
+	content, err := fs.ReadFile(snapshotName)
+	if err != nil {
+		return changelog.Snapshot{}, fmt.Errorf("wal: reading the snapshot: %w", err)
+	}
+	t, data, size, err := readRecord(content, 0)
+	if err == nil && (t != typeSnapshot || size != len(content)) {
+		err = errMalformed
+	}
+	var snapshot changelog.Snapshot
+	if err == nil {
+		snapshot, err = decodeSnapshot(data)
+	}
+	if err != nil {
+		// The file got its name only after it was synced, so it cannot be torn.
+		return changelog.Snapshot{}, &CorruptError{File: snapshotName, Reason: err.Error()}
+	}
+	return snapshot, nil
+}
+
+// replay rebuilds the log from the segments.
+type replay struct {
+	s    *Storage
+	rec  *Recovered
+	any  bool   // an entry or reset was read
+	last uint64 // last entry of the log
+	tail int64  // size of the last segment without its torn end
+}
+
+func (r *replay) segments(names []string) error {
+	var segments []string
+	for _, name := range names {
+		if strings.HasPrefix(name, segmentPrefix) {
+			segments = append(segments, name)
+		}
+	}
+	slices.Sort(segments)
+	for i, name := range segments {
+		var number uint64
+		if _, err := fmt.Sscanf(name, segmentFormat, &number); err != nil || segmentName(number) != name {
+			return &CorruptError{File: name, Reason: "not a name of a log file"}
+		}
+		if i > 0 && number != r.s.current().number+1 {
+			return &CorruptError{File: name, Reason: "the log file before it is missing"}
+		}
+		r.s.files = append(r.s.files, segment{number: number})
+		if err := r.segment(name, i == len(segments)-1); err != nil {
+			return err
+		}
+	}
+	if len(segments) == 0 && r.rec.Snapshot.Index > 0 {
+		return &CorruptError{File: snapshotName, Reason: "a snapshot is present but all log files are missing"}
+	}
+	return nil
+}
+
+// segment replays one file. Storage writes and syncs one record at a time, so
+// only the last record of the last file can be torn.
+func (r *replay) segment(name string, isLast bool) error {
+	content, err := r.s.fs.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("wal: reading %s: %w", name, err)
+	}
+	offset := int64(0)
+	for offset < int64(len(content)) {
+		rest := content[offset:]
+		t, data, size, err := readRecord(rest, offset)
+		if err != nil && isLast && !recordFollows(rest, offset) {
+			r.rec.TornFile, r.rec.TornBytes = name, len(rest)
+			break
+		}
+		if err == nil {
+			err = r.record(t, data)
+		}
+		if err != nil {
+			return &CorruptError{File: name, Offset: offset, Reason: err.Error()}
+		}
+		offset += int64(size)
+	}
+	r.tail = offset
+	return nil
+}
+
+func (r *replay) record(t recordType, data []byte) error {
+	switch t {
+	case typeSave:
+		hs, entries, err := decodeSave(data)
+		if err != nil {
+			return err
+		}
+		r.rec.HardState = hs
+		for _, e := range entries {
+			if err := r.entry(e); err != nil {
+				return err
+			}
+		}
+		return nil
+	case typeReset:
+		index, hs, err := decodeReset(data)
+		if err != nil {
+			return err
+		}
+		r.rec.HardState, r.rec.Entries, r.any, r.last = hs, nil, true, index
+		return nil
+	}
+	return fmt.Errorf("unknown record type %d", t)
+}
+
+// entry adds an entry, which replaces that of the same index and all after it.
+func (r *replay) entry(e changelog.Entry) error {
+	if !r.any {
+		// Files before this one were removed because the snapshot covers them.
+		if e.Index == 0 || e.Index > r.rec.Snapshot.Index+1 {
+			return fmt.Errorf("first entry %d does not follow the snapshot at entry %d", e.Index, r.rec.Snapshot.Index)
+		}
+		r.any, r.last = true, e.Index-1
+	}
+	first := r.last - uint64(len(r.rec.Entries)) + 1
+	if e.Index > r.last+1 || e.Index < first {
+		return fmt.Errorf("entry %d cannot follow entry %d", e.Index, r.last)
+	}
+	r.rec.Entries = append(r.rec.Entries[:e.Index-first], e)
+	r.last = e.Index
+	r.s.current().maxIndex = max(r.s.current().maxIndex, e.Index)
+	return nil
+}
+
+// stale drops the entries that the snapshot covers. It reports true, and drops
+// all, when the log does not contain the snapshot's last entry: the crash came
+// between the installation of a snapshot and the reset of the log.
+func (r *replay) stale() (bool, error) {
+	s := r.rec.Snapshot
+	first := r.last - uint64(len(r.rec.Entries)) + 1
+	switch {
+	case s.Index+1 < first:
+		reason := fmt.Sprintf("the log begins at entry %d, the snapshot ends at entry %d", first, s.Index)
+		return false, &CorruptError{File: snapshotName, Reason: reason}
+	case s.Index+1 == first:
+		return false, nil
+	case s.Index > r.last || r.rec.Entries[s.Index-first].Term != s.Term:
+		r.rec.Entries = nil
+		return true, nil
+	}
+	r.rec.Entries = slices.Clone(r.rec.Entries[s.Index-first+1:])
+	return false, nil
+}
--- /dev/null
+++ b/internal/changelog/wal/record.go
@@ -0,0 +1,188 @@
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"math"
+	"time"
+
+	"cassiawood/internal/changelog"
+)
+
+// A record is the length of its data (4 bytes, little endian), a CRC-32C
+// (4 bytes), its type (1 byte) and its data. The checksum covers the offset of
+// the record in its file, the length, the type and the data. The offset keeps
+// a copy of a record inside other data from passing as a record.
+const headerSize = 9
+
+// maxRecordBytes bounds the data of one record.
+const maxRecordBytes = math.MaxInt32
+
+type recordType byte
+
+const (
+	typeSave     recordType = 1 // hard state and entries of one Ready
+	typeReset    recordType = 2 // hard state; the log restarts after an installed snapshot
+	typeSnapshot recordType = 3 // the only record of a snapshot file
+)
+
+var (
+	castagnoli   = crc32.MakeTable(crc32.Castagnoli)
+	errTorn      = errors.New("record is cut off or its checksum does not match")
+	errMalformed = errors.New("data of the record cannot be decoded")
+)
+
+func checksum(offset int64, lengthField []byte, typeAndData []byte) uint32 {
+	var at [8]byte
+	binary.LittleEndian.PutUint64(at[:], uint64(offset))
+	sum := crc32.Update(0, castagnoli, at[:])
+	sum = crc32.Update(sum, castagnoli, lengthField)
+	return crc32.Update(sum, castagnoli, typeAndData)
+}
+
+// beginRecord appends a header to be completed by endRecord.
+func beginRecord(buf []byte, t recordType) []byte {
+	return append(buf, 0, 0, 0, 0, 0, 0, 0, 0, byte(t))
+}
+
+// endRecord completes a record that will be at offset in the file.
+func endRecord(r []byte, offset int64) {
+	binary.LittleEndian.PutUint32(r, uint32(len(r)-headerSize))
+	binary.LittleEndian.PutUint32(r[4:], checksum(offset, r[:4], r[8:]))
+}
+
+// readRecord returns the record at the start of buf and its whole size.
+func readRecord(buf []byte, offset int64) (t recordType, data []byte, size int, err error) {
+	if len(buf) < headerSize {
+		return 0, nil, 0, errTorn
+	}
+	length := int64(binary.LittleEndian.Uint32(buf))
+	if length > int64(len(buf)-headerSize) {
+		return 0, nil, 0, errTorn
+	}
+	size = headerSize + int(length)
+	if binary.LittleEndian.Uint32(buf[4:]) != checksum(offset, buf[:4], buf[8:size]) {
+		return 0, nil, 0, errTorn
+	}
+	return recordType(buf[8]), buf[headerSize:size], size, nil
+}
+
+// recordFollows reports whether a whole record begins anywhere after the first
+// byte of buf.
+func recordFollows(buf []byte, offset int64) bool {
+	for i := 1; i+headerSize <= len(buf); i++ {
+		if t := recordType(buf[i+8]); t != typeSave && t != typeReset {
+			continue
+		}
+		if _, _, _, err := readRecord(buf[i:], offset+int64(i)); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+const flagRejoining = 1
+
+func appendSave(buf []byte, hs changelog.HardState, entries []changelog.Entry) []byte {
+	var flags uint64
+	if hs.Rejoining {
+		flags |= flagRejoining
+	}
+	for _, v := range []uint64{hs.Term, hs.Vote, hs.Commit, flags, uint64(len(entries))} {
+		buf = binary.AppendUvarint(buf, v)
+	}
+	for i := range entries {
+		e := &entries[i]
+		buf = binary.AppendUvarint(buf, e.Index)
+		buf = binary.AppendUvarint(buf, e.Term)
+		buf = binary.AppendVarint(buf, int64(e.At))
+		buf = binary.AppendUvarint(buf, uint64(len(e.Data)))
+		buf = append(buf, e.Data...)
+	}
+	return buf
+}
+
+func appendReset(buf []byte, index uint64, hs changelog.HardState) []byte {
+	return appendSave(binary.AppendUvarint(buf, index), hs, nil)
+}
+
+func appendSnapshot(buf []byte, s *changelog.Snapshot) []byte {
+	buf = binary.AppendUvarint(buf, s.Index)
+	buf = binary.AppendUvarint(buf, s.Term)
+	buf = binary.AppendVarint(buf, int64(s.At))
+	return append(buf, s.State...)
+}
+
+// reader takes values off the data of a record; bad is set when they run out.
+type reader struct {
+	data []byte
+	bad  bool
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.data)
+	return advance(r, v, n)
+}
+
+func (r *reader) varint() int64 {
+	v, n := binary.Varint(r.data)
+	return advance(r, v, n)
+}
+
+func advance[T uint64 | int64](r *reader, v T, n int) T {
+	if n <= 0 {
+		r.bad, r.data = true, nil
+		return 0
+	}
+	r.data = r.data[n:]
+	return v
+}
+
+// bytes returns a copy, so that the content of a whole file is not kept alive.
+func (r *reader) bytes(n uint64) []byte {
+	if n > uint64(len(r.data)) {
+		r.bad, r.data = true, nil
+		return nil
+	}
+	v := append([]byte(nil), r.data[:n]...)
+	r.data = r.data[n:]
+	return v
+}
+
+func decodeSave(data []byte) (hs changelog.HardState, entries []changelog.Entry, err error) {
+	r := reader{data: data}
+	hs = changelog.HardState{Term: r.uvarint(), Vote: r.uvarint(), Commit: r.uvarint()}
+	hs.Rejoining = r.uvarint()&flagRejoining != 0
+	for count := r.uvarint(); count > 0 && !r.bad; count-- {
+		e := changelog.Entry{Index: r.uvarint(), Term: r.uvarint(), At: time.Duration(r.varint())}
+		e.Data = r.bytes(r.uvarint())
+		entries = append(entries, e)
+	}
+	if r.bad || len(r.data) > 0 {
+		return changelog.HardState{}, nil, errMalformed
+	}
+	return hs, entries, nil
+}
+
+func decodeReset(data []byte) (index uint64, hs changelog.HardState, err error) {
+	r := reader{data: data}
+	if index = r.uvarint(); index == 0 {
+		return 0, changelog.HardState{}, errMalformed
+	}
+	hs, entries, err := decodeSave(r.data)
+	if err == nil && len(entries) > 0 {
+		err = errMalformed
+	}
+	return index, hs, err
+}
+
+func decodeSnapshot(data []byte) (changelog.Snapshot, error) {
+	r := reader{data: data}
+	s := changelog.Snapshot{Index: r.uvarint(), Term: r.uvarint(), At: time.Duration(r.varint())}
+	if r.bad || s.Index == 0 {
+		return changelog.Snapshot{}, errMalformed
+	}
+	s.State = r.bytes(uint64(len(r.data)))
+	return s, nil
+}
