Add the leases of backend servers and hosts

Cause: nothing decided at the leader who is present, when prepared moves are committed and when a change of the document is accepted. Change: member.Leases turns announcements, host reports, probe verdicts and ticks into commands and replies. A host counts as live for 2 s (plus 400 ms for the way) after its table was last known to be complete, so a host that reports without applying cannot delay a leaving endpoint. Nothing of a failure domain that is silent as a whole is removed, since that would reset live flows when the partition heals (P10).

--- a/internal/directory/endpoints.go
+++ b/internal/directory/endpoints.go
@@ -87,6 +87,14 @@
 // at once. Faulty probes must not take a whole service out of use.
 func SuspectLimit(ready int) int { return ready / 3 }
 
+// Suspected returns how many endpoints of a service are suspected and how many are ready.
+func (s *State) Suspected(service string) (suspected, ready int) {
+	if state, ok := s.services[service]; ok {
+		return s.countSuspected(state.table)
+	}
+	return 0, 0
+}
+
 func (s *State) countSuspected(t *table) (suspected, ready int) {
 	for _, id := range t.members {
 		e := s.endpoints[id]
--- /dev/null
+++ b/internal/member/decisions.go
@@ -0,0 +1,80 @@
+package member
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"cassiawood/internal/directory"
+)
+
+// movesProposal is the last proposed MovesCommitted.
+type movesProposal struct {
+	upTo uint64
+	at   time.Duration
+}
+
+// commitMoves proposes to commit prepared moves once every host that may still
+// place flows by its own table has applied the preparation.
+func (l *Leases) commitMoves() {
+	prepared, ok := l.state.PendingMoves()
+	if !ok {
+		return
+	}
+	if l.moves.upTo >= prepared && l.now-l.moves.at < proposalRetry {
+		return
+	}
+	upTo := l.state.Index()
+	for _, h := range l.hosts {
+		if l.live(h) {
+			upTo = min(upTo, h.applied)
+		}
+	}
+	if upTo < prepared {
+		return
+	}
+	l.moves = movesProposal{upTo: upTo, at: l.now}
+	l.effects = append(l.effects, Propose{Command: directory.MovesCommitted{UpTo: upTo}})
+}
+
+// decideChanges accepts each prepared change that a host of every failure domain
+// in service has applied, and refuses it when one does not confirm in time.
+func (l *Leases) decideChanges() {
+	changes := l.state.PendingChanges()
+	if len(changes) == 0 {
+		clear(l.pending)
+		return
+	}
+	for _, change := range changes {
+		if _, seen := l.pending[change.ChangeID]; !seen {
+			l.pending[change.ChangeID] = l.now
+		}
+		missing := l.unconfirmed(change.Index)
+		switch {
+		case len(missing) == 0:
+			l.propose(directory.ChangeDecided{ChangeID: change.ChangeID, Accepted: true})
+		case l.now-l.pending[change.ChangeID] >= decisionTime:
+			reason := fmt.Sprintf("no host of failure domain %s confirmed the change within %v; "+
+				"restore it or declare it out of service", strings.Join(missing, ", "), decisionTime)
+			l.propose(directory.ChangeDecided{ChangeID: change.ChangeID, Reason: reason})
+		}
+	}
+}
+
+// unconfirmed returns the failure domains in service of which no host has
+// applied an index.
+func (l *Leases) unconfirmed(index uint64) []string {
+	confirmed := map[string]bool{}
+	for _, h := range l.hosts {
+		if h.applied >= index {
+			confirmed[h.domain] = true
+		}
+	}
+	var missing []string
+	for _, domain := range l.state.DomainsInService() {
+		if !confirmed[domain] {
+			missing = append(missing, domain)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,302 @@
+package member_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/member"
+)
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "member")
+}
+
+// seeds runs a case with several orders of reports.
+func seeds(run func(seed uint64)) {
+	for seed := range uint64(20) {
+		By(fmt.Sprint("seed ", seed))
+		run(seed)
+	}
+}
+
+var _ = Describe("leaving", func() {
+	// Guards against new work on a leaving endpoint after 3 s, and (in sim.checkCommit)
+	// against a commit while a host still places flows by the table before it.
+	DescribeTable("ends new work within 3 s",
+		func(fault func(s *sim)) {
+			seeds(func(seed uint64) {
+				s := newSim(seed, 3, 6)
+				Expect(s.current()).To(HaveKey("desk1"))
+				leaving := *s.endpoints[1]
+				leaving.State = directory.Leaving
+				s.send(member.Announced{ID: 7, Endpoint: leaving})
+				fault(s)
+				s.run(3*time.Second - 2*step)
+				Expect(s.current()).NotTo(HaveKey("desk1"))
+				Expect(s.current()).To(HaveLen(5))
+				Expect(s.stateOf("desk1")).To(Equal(directory.Leaving))
+				Expect(s.replies[7].Accepted).To(BeTrue())
+			})
+		},
+		Entry("without a fault", func(*sim) {}),
+		Entry("host misses the update", func(s *sim) { s.hosts[2].stuck = true }),
+		Entry("host freezes", func(s *sim) { s.hosts[2].cutOff = true }),
+		Entry("host dies between prepare and commit", func(s *sim) {
+			s.run(3 * step)
+			s.hosts[2].dead = true
+		}),
+		Entry("host misses the update, another dies", func(s *sim) {
+			s.hosts[1].stuck = true
+			s.hosts[2].dead = true
+		}),
+		Entry("leader changes between prepare and commit", func(s *sim) {
+			s.run(3 * step)
+			s.changeLeader()
+		}),
+		Entry("leader changes and a host is cut off", func(s *sim) {
+			s.run(3 * step)
+			s.hosts[4].cutOff = true
+			s.changeLeader()
+		}),
+		Entry("endpoint claims to be ready", func(s *sim) {
+			for range 20 {
+				s.run(5 * step)
+				s.send(member.Announced{Endpoint: *s.endpoints[1]}) // still Ready in the list
+			}
+		}),
+		Entry("probe claims that it is healthy", func(s *sim) {
+			for range 5 {
+				s.run(step)
+				s.send(member.Probed{Instance: "desk1", Healthy: true})
+			}
+		}),
+		Entry("announcement doubled", func(s *sim) {
+			again := *s.endpoints[1]
+			again.State = directory.Draining
+			s.send(member.Announced{Endpoint: again})
+		}),
+	)
+
+	// Guards against two moves of one bucket for one leaving, and against commits without end.
+	It("commits a preparation once", func() {
+		s := newSim(1, 3, 6)
+		before := len(s.commits)
+		s.endpoints[1].State = directory.Draining
+		s.run(10 * time.Second)
+		Expect(s.commits[before:]).To(HaveLen(1))
+	})
+
+	// Guards against an instance that is added by an entry on its way after it announced its end.
+	It("overrules an announcement that is not committed yet", func() {
+		s := newSim(1, 3, 4)
+		late := *s.endpoint(9, 3)
+		s.send(member.Announced{Endpoint: late})
+		stop := late
+		stop.State = directory.Leaving
+		s.send(member.Announced{ID: 8, Endpoint: stop})
+		s.run(time.Second)
+		Expect(s.stateOf("desk9")).To(Equal(directory.Leaving))
+		Expect(s.current()).NotTo(HaveKey("desk9"))
+		unknown := *s.endpoint(10, 3)
+		unknown.State = directory.Draining
+		s.send(member.Announced{Endpoint: unknown})
+		unknown.State = directory.Ready // arrives after the draining that it preceded
+		s.send(member.Announced{Endpoint: unknown})
+		s.run(time.Second)
+		_, known := s.state.EndpointByInstance("desk10")
+		Expect(known).To(BeFalse())
+	})
+})
+
+var _ = Describe("leases", func() {
+	// Guards against an endpoint that is kept after its end, and one that is removed too early.
+	DescribeTable("end after the time that the endpoint asked for, within bounds",
+		func(asked, length time.Duration) {
+			s := newSim(1, 3, 3)
+			e := *s.endpoints[1]
+			s.stopAnnouncing("desk1")
+			s.send(member.Announced{Endpoint: e, Lease: asked})
+			s.run(length - step)
+			Expect(s.stateOf("desk1")).To(Equal(directory.Ready))
+			s.run(time.Second)
+			Expect(s.stateOf("desk1")).To(Equal(directory.Removed))
+		},
+		Entry("default", time.Duration(0), 6*time.Second),
+		Entry("too short", time.Millisecond, 2*time.Second),
+		Entry("too long", time.Hour, time.Minute),
+	)
+
+	// Guards against a leader change that removes endpoints and hosts which are present.
+	It("start anew with a new leader", func() {
+		s := newSim(1, 3, 3)
+		s.stopAnnouncing("desk1")
+		s.run(5 * time.Second)
+		s.changeLeader()
+		s.run(5 * time.Second)
+		Expect(s.stateOf("desk1")).To(Equal(directory.Ready))
+		Expect(s.state.Hosts()).To(HaveLen(6))
+		s.run(1500 * time.Millisecond)
+		Expect(s.stateOf("desk1")).To(Equal(directory.Removed))
+	})
+
+	// Guards against live flows that are reset when a partition heals (P10).
+	It("outlast the partition of a failure domain", func() {
+		seeds(func(seed uint64) {
+			s := newSim(seed, 3, 6)
+			s.stopAnnouncing("desk1")
+			s.stopAnnouncing("desk4")
+			s.hosts[1].cutOff, s.hosts[4].cutOff = true, true
+			s.run(20 * time.Second)
+			Expect(s.state.Hosts()).To(HaveLen(6))
+			Expect(s.stateOf("desk1")).To(Equal(directory.Ready))
+			Expect(s.current()).NotTo(Or(HaveKey("desk1"), HaveKey("desk4")))
+			s.hosts[1].cutOff, s.hosts[4].cutOff = false, false
+			s.run(3 * time.Second)
+			s.endpoints = append(s.endpoints, s.endpoint(1, 3))
+			s.run(8 * time.Second)
+			Expect(s.stateOf("desk1")).To(Equal(directory.Ready))
+			Expect(s.stateOf("desk4")).To(Equal(directory.Removed))
+		})
+	})
+
+	// Guards against records that stay on a dead host, and against removal by a short silence.
+	It("of hosts end after 6 s", func() {
+		s := newSim(1, 3, 3)
+		s.hosts[4].dead = true
+		s.run(5 * time.Second)
+		Expect(s.state.Hosts()).To(HaveLen(6))
+		s.run(1500 * time.Millisecond)
+		Expect(s.state.Hosts()).To(HaveLen(5))
+		s.send(member.HostApplied{Name: "host4", Incarnation: 1, Index: 1})
+		s.send(member.HostHello{Host: directory.Host{Name: "host4", Incarnation: 2, Domain: "zone1"}})
+		s.run(time.Second)
+		Expect(s.state.Hosts()).To(HaveLen(6))
+	})
+
+	// Guards against a late announcement of an old instance that ends its successor.
+	It("of an old instance do not come back", func() {
+		s := newSim(1, 3, 3)
+		old := *s.endpoints[1]
+		next := s.endpoint(1, 3)
+		next.Instance = "desk1-again"
+		s.endpoints[1] = next
+		s.run(2 * time.Second)
+		s.send(member.Announced{ID: 9, Endpoint: old})
+		s.run(2 * time.Second)
+		Expect(s.replies[9].Accepted).To(BeFalse())
+		Expect(s.stateOf("desk1-again")).To(Equal(directory.Ready))
+		Expect(s.stateOf("desk1")).To(Equal(directory.Removed))
+	})
+
+	// Guards against announcements for a service by someone without its token.
+	It("need the token of the service", func() {
+		s := newSim(1, 1, 0)
+		hash := sha256.Sum256([]byte("secret"))
+		s.apply(directory.ChangePrepared{ChangeID: "t", Team: "t", Section: "Desk", BaseVersion: 1, Services: []document.Service{
+			{Name: "desk", AnnouncedAs: "order-desk", Address: s.endpoint(0, 1).Address, Protocol: document.TCP, AnnounceToken: hash[:]},
+		}})
+		s.run(time.Second)
+		for id, token := range map[uint64]string{1: "", 2: "other", 3: "secret"} {
+			s.send(member.Announced{ID: id, Endpoint: *s.endpoint(0, 1), Token: token})
+			s.run(time.Second)
+			Expect(s.replies[id].Accepted).To(Equal(token == "secret"))
+		}
+	})
+})
+
+var _ = Describe("suspicion", func() {
+	// Guards against one lost probe that moves buckets, and against probes that empty a service.
+	It("needs three failures and spares two thirds", func() {
+		s := newSim(1, 3, 6)
+		verdict := func(n int, p member.Probed) {
+			for range n {
+				s.send(p)
+			}
+			s.run(time.Second)
+		}
+		verdict(2, member.Probed{Instance: "desk1"})
+		verdict(1, member.Probed{Instance: "desk1", Healthy: true})
+		verdict(2, member.Probed{Instance: "desk1"})
+		Expect(s.current()).To(HaveKey("desk1"))
+		verdict(1, member.Probed{Instance: "desk1"})
+		Expect(s.current()).NotTo(HaveKey("desk1"))
+		verdict(1, member.Probed{Instance: "desk2", Passive: true})
+		Expect(s.current()).NotTo(HaveKey("desk2"))
+		verdict(9, member.Probed{Instance: "desk3"})
+		Expect(s.leases.Step(s.now, member.Probed{Instance: "desk3"})).To(BeEmpty())
+		Expect(s.current()).To(HaveKey("desk3"))
+		verdict(3, member.Probed{Instance: "desk1", Healthy: true})
+		Expect(s.current()).To(HaveKey("desk1"))
+		verdict(3, member.Probed{Instance: "unknown"})
+	})
+})
+
+var _ = Describe("document change", func() {
+	change := func(s *sim) func() (*directory.Answer, bool) {
+		s.apply(directory.ChangePrepared{ChangeID: "c", Team: "t", Section: "Print"})
+		return func() (*directory.Answer, bool) { return s.state.Change("c") }
+	}
+
+	// Guards against a change that is accepted and not held by some failure domain (P8).
+	DescribeTable("is decided by all failure domains in service",
+		func(fault func(s *sim), accepted bool, reason string) {
+			seeds(func(seed uint64) {
+				s := newSim(seed, 3, 3)
+				fault(s)
+				answer := change(s)
+				s.run(4900 * time.Millisecond)
+				early, _ := answer()
+				Expect(early != nil).To(Equal(accepted))
+				s.run(400 * time.Millisecond)
+				got, _ := answer()
+				Expect(got.Accepted).To(Equal(accepted))
+				Expect(got.Reason).To(ContainSubstring(reason))
+			})
+		},
+		Entry("without a fault", func(*sim) {}, true, ""),
+		Entry("one host of each domain is enough", func(s *sim) { s.hosts[0].dead, s.hosts[4].stuck = true, true }, true, ""),
+		Entry("a domain is cut off", func(s *sim) { s.hosts[2].cutOff, s.hosts[5].cutOff = true, true }, false, "zone2"),
+		Entry("a domain's hosts were removed", func(s *sim) {
+			s.hosts[2].dead, s.hosts[5].dead = true, true
+			s.run(20 * time.Second)
+		}, false, "zone2"),
+		Entry("the domain is out of service", func(s *sim) {
+			s.hosts[2].dead, s.hosts[5].dead = true, true
+			s.apply(directory.DomainService{Domain: "zone2", Out: true})
+		}, true, ""),
+	)
+
+	// Guards against a late message of an ended process that counts as its successor's.
+	It("is not confirmed by an earlier incarnation", func() {
+		s := newSim(1, 1, 1)
+		s.hosts[0].cutOff, s.hosts[1].cutOff = true, true
+		s.send(member.HostHello{Host: directory.Host{Name: "host0", Incarnation: 2, Domain: "zone0"}})
+		answer := change(s)
+		s.send(member.HostApplied{Name: "host0", Incarnation: 1, Index: s.state.Index()})
+		s.run(time.Second)
+		got, _ := answer()
+		Expect(got).To(BeNil())
+		s.send(member.HostApplied{Name: "host0", Incarnation: 2, Index: s.state.Index()})
+		s.run(time.Second)
+		got, _ = answer()
+		Expect(got.Accepted).To(BeTrue())
+	})
+
+	// Guards against a decision that is lost with the leader.
+	It("is decided by the next leader", func() {
+		s := newSim(3, 3, 3)
+		answer := change(s)
+		s.changeLeader()
+		s.run(time.Second)
+		got, _ := answer()
+		Expect(got.Accepted).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/member/sim_test.go
@@ -0,0 +1,171 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/member"
+)
+
+const step = 20 * time.Millisecond
+
+// simHost is an entry host that follows the log.
+type simHost struct {
+	directory.Host
+	applied uint64
+	fresh   time.Duration // last time its table was complete
+	dead    bool          // neither forwards nor reports
+	cutOff  bool          // forwards and reaches no control host
+	stuck   bool          // reports and applies nothing
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	command directory.Command
+	due     time.Duration
+}
+
+// sim runs a leader with hosts and backend servers over virtual time.
+type sim struct {
+	now       time.Duration
+	random    *rand.Rand
+	state     *directory.State
+	leases    *member.Leases
+	log       []proposal
+	hosts     []*simHost
+	endpoints []*directory.Endpoint // announced every second
+	replies   map[uint64]member.Reply
+	commits   []uint64 // UpTo of each MovesCommitted
+}
+
+func newSim(seed uint64, domains, endpoints int) *sim {
+	s := &sim{random: rand.New(rand.NewPCG(seed, 1)), state: directory.NewWithBuckets(64), replies: map[uint64]member.Reply{}}
+	s.apply(directory.ChangePrepared{ChangeID: "start", Team: "t", Section: "Desk", Services: []document.Service{
+		{Name: "desk", AnnouncedAs: "order-desk", Address: netip.MustParseAddrPort("10.0.0.1:80"), Protocol: document.TCP},
+	}})
+	s.apply(directory.ChangeDecided{ChangeID: "start", Accepted: true})
+	s.changeLeader()
+	for i := range domains * 2 {
+		s.hosts = append(s.hosts, &simHost{Host: directory.Host{Name: fmt.Sprint("host", i), Incarnation: 1, Domain: fmt.Sprint("zone", i%domains)}})
+		s.send(member.HostHello{Host: s.hosts[i].Host})
+	}
+	for i := range endpoints {
+		s.endpoints = append(s.endpoints, s.endpoint(i, domains))
+	}
+	s.run(4 * time.Second)
+	return s
+}
+
+func (s *sim) endpoint(i, domains int) *directory.Endpoint {
+	return &directory.Endpoint{
+		Instance: fmt.Sprint("desk", i), Service: "order-desk", Domain: fmt.Sprint("zone", i%domains), Slots: 2, State: directory.Ready,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 8080),
+	}
+}
+
+// changeLeader starts a new leader; commands that were on their way are lost.
+func (s *sim) changeLeader() {
+	s.log = nil
+	s.leases = member.New(s.state)
+	s.send(member.BecameLeader{})
+}
+
+func (s *sim) send(e member.Event) {
+	for _, effect := range s.leases.Step(s.now, e) {
+		switch effect := effect.(type) {
+		case member.Propose:
+			s.log = append(s.log, proposal{effect.Command, s.now + 2*step})
+		case member.Reply:
+			s.replies[effect.ID] = effect
+		}
+	}
+}
+
+func (s *sim) apply(c directory.Command) directory.Outcome {
+	if commit, ok := c.(directory.MovesCommitted); ok {
+		s.checkCommit(commit.UpTo)
+		s.commits = append(s.commits, commit.UpTo)
+	}
+	out := s.state.Apply(directory.Entry{Index: s.state.Index() + 1, At: s.now, Command: c})
+	if s.leases != nil {
+		s.send(member.Committed{Command: c, Outcome: out})
+	}
+	return out
+}
+
+// checkCommit fails when a host that still places flows has not applied the preparation.
+func (s *sim) checkCommit(upTo uint64) {
+	for _, h := range s.hosts {
+		if !h.dead && s.now-h.fresh < member.HostLease {
+			Expect(h.applied).To(BeNumerically(">=", upTo), "host %s at %v", h.Name, s.now)
+		}
+	}
+}
+
+// run lets time pass: commits, reports about every 200 ms, announcements every second.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += step
+		for len(s.log) > 0 && s.log[0].due <= s.now {
+			next := s.log[0]
+			s.log = s.log[1:]
+			s.apply(next.command)
+		}
+		for _, h := range s.hosts {
+			if s.random.IntN(10) == 0 {
+				s.report(h)
+			}
+		}
+		if s.now%time.Second == 0 {
+			for _, e := range slices.Clone(s.endpoints) {
+				s.send(member.Announced{Endpoint: *e})
+			}
+		}
+		if s.now%(100*time.Millisecond) == 0 {
+			s.send(member.Tick{})
+		}
+	}
+}
+
+func (s *sim) report(h *simHost) {
+	if h.dead || h.cutOff {
+		return
+	}
+	if !h.stuck {
+		h.applied, h.fresh = s.state.Index(), s.now
+	}
+	s.send(member.HostApplied{Name: h.Name, Incarnation: h.Incarnation, Index: h.applied})
+	if listed, ok := s.state.Host(h.Name); ok && listed.State == directory.HostJoined {
+		s.send(member.HostComplete{Name: h.Name, Incarnation: h.Incarnation})
+	}
+}
+
+// current counts the buckets of each endpoint's instance.
+func (s *sim) current() map[string]int {
+	counts := map[string]int{}
+	service, _ := s.state.Service("desk")
+	for i := range service.Buckets() {
+		if e, ok := s.state.Endpoint(service.Bucket(i).Current); ok {
+			counts[e.Instance]++
+		}
+	}
+	return counts
+}
+
+// stopAnnouncing makes a backend server silent.
+func (s *sim) stopAnnouncing(instance string) {
+	s.endpoints = slices.DeleteFunc(s.endpoints, func(e *directory.Endpoint) bool { return e.Instance == instance })
+}
+
+func (s *sim) stateOf(instance string) directory.EndpointState {
+	e, ok := s.state.EndpointByInstance(instance)
+	Expect(ok).To(BeTrue(), instance)
+	return e.State
+}
