Read the directory in the flow engine and bound requests for copies

An answer to a request for copies asked all sources again, so that the messages doubled with each round; a test run grew until it was killed. TableOf presents a directory.State as the engine's table.

--- /dev/null
+++ b/internal/flow/adapter.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"net/netip"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+)
+
+// directoryTable presents the replicated directory as a Table.
+type directoryTable struct{ *directory.State }
+
+// TableOf returns the view of a directory that the engine needs. It reads the
+// directory at each call, so that it follows further entries.
+func TableOf(s *directory.State) Table { return directoryTable{s} }
+
+func serviceOf(s *directory.ServiceState) Service {
+	return Service{
+		Name: s.Name, Address: s.Address, Protocol: uint8(s.Protocol), Buckets: s.Buckets(),
+		BalanceFirst: s.Priority == document.BalanceFirst, Quarantined: s.Quarantined,
+	}
+}
+
+// Service implements Table.
+func (t directoryTable) Service(address netip.AddrPort, protocol uint8) (Service, bool) {
+	s, ok := t.ServiceByAddress(address, document.Protocol(protocol))
+	if !ok {
+		return Service{}, false
+	}
+	return serviceOf(s), true
+}
+
+// ServiceNamed implements Table.
+func (t directoryTable) ServiceNamed(name string) (Service, bool) {
+	s, ok := t.State.Service(name)
+	if !ok {
+		return Service{}, false
+	}
+	return serviceOf(s), true
+}
+
+// Bucket implements Table.
+func (t directoryTable) Bucket(service string, number int) (directory.Bucket, bool) {
+	s, ok := t.State.Service(service)
+	if !ok {
+		return directory.Bucket{}, false
+	}
+	return s.Bucket(number), true
+}
+
+// EndpointsAt implements Table.
+func (t directoryTable) EndpointsAt(address netip.AddrPort) []directory.EndpointID {
+	return t.InstancesAt(address)
+}
+
+// EndpointsOf implements Table.
+func (t directoryTable) EndpointsOf(service string) []directory.EndpointID {
+	s, ok := t.State.Service(service)
+	if !ok {
+		return nil
+	}
+	return s.Members()
+}
--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -13,18 +13,17 @@
 	return x ^ x>>32
 }
 
-// requestCopies asks the former holders for the records of incomplete holdings. One
-// request per source is open at a time; it is repeated while no answer comes.
+// requestCopies asks the former holders for the records of incomplete holdings. Each
+// holding is asked for once per interval, and each source for a window of them.
 func (e *Engine) requestCopies() {
 	e.prunePending()
-	if len(e.pending) == 0 || (e.requested != 0 && e.now-e.requested < requestInterval) {
-		return
-	}
-	e.requested = e.now
 	asked := map[string][]HoldingRef{}
 	var order []string
 	for _, pos := range e.pending {
 		h := &e.holdings[pos]
+		if h.asked != 0 && e.now-h.asked < requestInterval {
+			continue
+		}
 		for _, source := range h.waiting {
 			refs := asked[source]
 			if len(refs) == 0 {
@@ -32,6 +31,7 @@
 			}
 			if len(refs) < requestWindow {
 				asked[source] = append(refs, h.ref())
+				h.asked = max(e.now, 1)
 			}
 		}
 	}
@@ -82,7 +82,6 @@
 		e.answered(from, ref)
 	}
 	if len(b.Holdings) > 0 {
-		e.requested = 0
 		e.requestCopies()
 	}
 }
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -40,18 +40,18 @@
 
 // Engine decides for one entry host. It is not safe for concurrent use; one duty calls it.
 type Engine struct {
-	cfg   Config
-	table Table
-	now   time.Duration
-	clock stamp
-	epoch uint16 // advances when hints become invalid
-
-	flows     flowTable
-	holdings  []holding // position 0 is unused
-	byKey     map[holdingKey]uint32
-	pending   []uint32 // holdings that wait for answers
-	requested time.Duration
-	wasWhole  bool
+	cfg     Config
+	table   Table
+	started bool // a table was given
+	now     time.Duration
+	clock   stamp
+	epoch   uint16 // advances when hints become invalid
+
+	flows    flowTable
+	holdings []holding // position 0 is unused
+	byKey    map[holdingKey]uint32
+	pending  []uint32 // holdings that wait for answers
+	wasWhole bool
 
 	peers   map[string]*peer
 	listed  map[string]directory.Host // hosts of the table
--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -36,11 +36,13 @@
 	waiting []string
 	whole   bool // this host has every record
 	gained  bool // an answer was whole
+	kept    bool // this host had every record when it was a holder before
 	present bool // in the present table
 	// confirmed lists new holders that acknowledged a copy from this former holder.
 	confirmed []string
 	lostAt    stamp
-	head      uint32 // records
+	asked     time.Duration // last request for a copy
+	head      uint32        // records
 	count     uint32
 }
 
@@ -93,7 +95,8 @@
 // rescanHoldings compares the holders of the present table with those of the
 // last one that the engine saw.
 func (e *Engine) rescanHoldings() {
-	first := len(e.holdings) == 1
+	first := !e.started
+	e.started = true
 	for i := range e.holdings {
 		e.holdings[i].present = false
 	}
@@ -103,13 +106,13 @@
 			continue
 		}
 		for number := range svc.Buckets {
-			b := e.table.Bucket(name, number)
-			if b == nil || (b.Settled() && !svc.BalanceFirst) {
+			b, ok := e.table.Bucket(name, number)
+			if !ok || (b.Settled() && !svc.BalanceFirst) {
 				continue
 			}
-			pl := e.planFor(svc, b)
+			pl := e.planFor(&svc, &b)
 			for _, step := range pl.steps[:pl.length] {
-				e.rescan(svc, number, step, first)
+				e.rescan(&svc, number, step, first)
 			}
 		}
 	}
@@ -177,14 +180,13 @@
 			sources = append(sources, s)
 		}
 	}
-	h.first, h.second, h.confirmed = first, second, nil
+	h.first, h.second, h.confirmed, h.asked = first, second, nil, 0
 	e.epoch++
 	if !h.has(me) {
-		h.waiting = nil
+		h.waiting, h.kept = nil, h.kept || (was && h.whole)
 		return
 	}
 	if !was {
-		e.clearHolding(pos)
 		h.whole, h.gained = false, false
 	}
 	h.waiting = h.waiting[:0:0]
@@ -231,8 +233,10 @@
 	if len(h.waiting) > 0 || h.whole || !h.has(e.cfg.Host) {
 		return
 	}
-	if h.gained {
-		h.whole = true
+	if h.gained || h.kept {
+		// Without an answer that is whole nobody has had more than this host kept, as
+		// after a failure domain was cut off and its records had no other holder.
+		h.whole, h.kept = true, false
 		return
 	}
 	if h.lostAt == 0 {
@@ -298,7 +302,7 @@
 		if en == nil {
 			return nil, false
 		}
-	case en.kind == entryRecord && !overwrite && e.holds(en.holding):
+	case en.kind == entryRecord && !overwrite && en.holding == pos && en.flags&flagPlaced != 0:
 		return en, true
 	default:
 		e.unlink(entryPos)
@@ -306,6 +310,9 @@
 	if en.kind != entryRecord || en.sequence != r.Sequence || en.endpoint != r.Endpoint {
 		en.flags, en.mark, en.callerPackets, en.callerSince, en.began = 0, 0, 0, 0, e.clock
 	}
+	if overwrite {
+		en.flags |= flagPlaced
+	}
 	en.kind, en.endpoint, en.sequence, en.state = entryRecord, r.Endpoint, r.Sequence, r.State
 	e.link(entryPos, en, pos)
 	return en, true
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -78,7 +78,7 @@
 	if q.p.Sequence == en.sequence || !replaceable {
 		if q.p.Sequence != en.sequence {
 			// The backend server may accept it, and the record must then outlive the old flow.
-			en.sequence, en.flags, en.mark = q.p.Sequence, 0, 0
+			en.sequence, en.flags, en.mark = q.p.Sequence, flagPlaced, 0
 		}
 		q.h = q.p.Handoff
 		return e.passRecord(q, en), true
--- a/internal/flow/resolve.go
+++ b/internal/flow/resolve.go
@@ -64,8 +64,8 @@
 // query is a packet with what was looked up for it.
 type query struct {
 	p      *Packet
-	svc    *Service
-	bucket *directory.Bucket
+	svc    Service
+	bucket directory.Bucket
 	number int
 	key    flowKey
 	hash   uint64
@@ -138,8 +138,7 @@
 	}
 	q.hash = q.key.hash()
 	q.number = int(q.hash & uint64(q.svc.Buckets-1))
-	q.bucket = e.table.Bucket(q.svc.Name, q.number)
-	if q.bucket == nil {
+	if q.bucket, ok = e.table.Bucket(q.svc.Name, q.number); !ok {
 		return ReasonNoEndpoint
 	}
 	return NoReason
@@ -180,9 +179,12 @@
 	}
 	ep, ok := e.table.Endpoint(id)
 	if !ok {
+		if q.bucket.Next != 0 {
+			return ReasonNotAccepting // the first endpoint's move is not committed yet
+		}
 		return ReasonNoEndpoint
 	}
-	if !ep.State.AcceptsFlows() {
+	if !e.table.Accepts(id) {
 		return ReasonNotAccepting
 	}
 	return e.fencedRefusal(ep)
@@ -283,7 +285,7 @@
 // ask hands the packet to the next holder that may have a record, or concludes
 // that there is none if this host is the last one.
 func (e *Engine) ask(q *query) Verdict {
-	pl := e.planFor(q.svc, q.bucket)
+	pl := e.planFor(&q.svc, &q.bucket)
 	if pl.overflow {
 		return drop(ReasonNoHolder)
 	}
--- a/internal/flow/resolve_test.go
+++ b/internal/flow/resolve_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"net/netip"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
 	"cassiawood/internal/flow"
 )
 
@@ -21,29 +21,18 @@
 	}
 }
 
-func engineAt(t *fakeTable, host string) *flow.Engine {
-	for _, h := range t.hosts {
-		if h.Name == host {
-			e := flow.New(flow.Config{Host: host, Incarnation: h.Incarnation, Domain: h.Domain})
-			e.Contact(time.Hour)
-			e.SetTable(0, t)
-			return e
-		}
-	}
-	return nil
-}
-
 var _ = Describe("resolution", func() {
-	var t *fakeTable
-	var feed netip.AddrPort
-	BeforeEach(func() {
-		t = newTable(16, false, 3, 2, 1)
-		feed = t.services["feed"].Address
-	})
+	var l *tableLog
+	feed := modelService(1, document.UnbrokenFirst).Address
+	BeforeEach(func() { l = newTableLog(3, 6, 3, document.UnbrokenFirst) })
+	instanceOf := func(id directory.EndpointID) string {
+		ep, _ := l.head.Endpoint(id)
+		return ep.Instance
+	}
 
 	// Guards against a settled bucket that needs records or questions (rules 1 and 3).
 	It("forwards the flows of settled buckets without a record", func() {
-		e := engineAt(t, "h0")
+		e := engineOf(l, "h0")
 		for i := range 100 {
 			syn := e.Packet(0, fromCaller(i, feed, flow.SYN, 0))
 			data := e.Packet(0, fromCaller(i, feed, flow.ACK, 10))
@@ -56,15 +45,16 @@
 
 	// Guards against a response that passes from another endpoint than the flow's (rule 5).
 	It("passes responses of the flow's own endpoint only", func() {
-		e := engineAt(t, "h0")
+		e := engineOf(l, "h0")
 		own := e.Packet(0, fromCaller(1, feed, flow.SYN, 0)).Endpoint
-		for id, ep := range t.endpoints {
+		for _, id := range l.head.Endpoints() {
+			ep, _ := l.head.Endpoint(id)
 			v := e.Packet(0, &flow.Packet{
 				Direction: flow.FromBackend, Protocol: flow.ProtocolTCP, Caller: callerAt(1), Backend: ep.Address,
 			})
-			if ep.Service != "feed" {
+			if ep.Service != "svc1" {
 				Expect(v.Address).NotTo(Equal(feed))
-			} else if id == own {
+			} else if ep.ID == own {
 				Expect(v.Action).To(Equal(flow.ForwardToCaller))
 				Expect(v.Address).To(Equal(feed))
 			} else {
@@ -75,23 +65,18 @@
 
 	// Guards against new work for a backend server that announced its stop (P6).
 	It("places nothing on an endpoint that is leaving", func() {
-		e := engineAt(t, "h0")
+		e := engineOf(l, "h0")
 		id := e.Packet(0, fromCaller(1, feed, flow.SYN, 0)).Endpoint
-		t2 := t.next()
-		t2.setEndpoint(id, directory.Leaving)
-		t2.prepare("feed", 0, 1)
-		e.SetTable(0, t2)
+		l.must(directory.EndpointStateChanged{Instance: instanceOf(id), State: directory.Leaving})
+		e.SetTable(0, flow.TableOf(l.state()))
 		Expect(e.Packet(0, fromCaller(1, feed, flow.SYN, 0)).Action).NotTo(Equal(flow.ForwardToBackend))
 	})
 
 	// Guards against a packet that reaches the new user of a released address, and
 	// against a claim that nothing ran (5.4, rule 6).
 	It("refuses new flows of a released address and continues old ones", func() {
-		t2 := t.next()
-		svc := t2.services["feed"]
-		svc.Quarantined = true
-		t2.services["feed"] = svc
-		e := engineAt(t2, "h0")
+		l.document(0, 1, modelService(2, document.UnbrokenFirst))
+		e := engineOf(l, "h0")
 		v := e.Packet(0, fromCaller(1, feed, flow.SYN, 0))
 		Expect(v.Action).To(Equal(flow.Reset))
 		Expect(v.Outcome).To(Equal(flow.Unknown))
@@ -100,23 +85,25 @@
 
 	// Guards against a hand-off that crosses services, and against hand-offs that loop.
 	It("drops hand-offs of another service and after too many hops", func() {
-		e := engineAt(t, "h0")
+		e := engineOf(l, "h0")
 		p := fromCaller(1, feed, flow.ACK, 10)
-		p.Handoff = flow.Handoff{Present: true, Service: "label"}
+		p.Handoff = flow.Handoff{Present: true, Service: "svc2"}
 		Expect(e.Packet(0, p).Reason).To(Equal(flow.ReasonServiceChanged))
-		p.Handoff = flow.Handoff{Present: true, Service: "feed", Hops: 200}
+		p.Handoff = flow.Handoff{Present: true, Service: "svc1", Hops: 200}
 		Expect(e.Packet(0, p).Reason).To(Equal(flow.ReasonTooManyHops))
 	})
 
 	// Guards against a flow of a removed endpoint that is guessed to its successor (rule 7).
 	It("resets the flows of a removed endpoint with an unknown outcome", func() {
-		e := engineAt(t, "h0")
-		id := e.Packet(0, fromCaller(1, feed, flow.SYN, 0)).Endpoint
-		t2 := t.next()
-		t2.setEndpoint(id, directory.Removed)
-		e.SetTable(0, t2)
-		v := e.Packet(0, fromCaller(1, feed, flow.ACK, 10))
-		Expect(v.Action).To(Equal(flow.Reset))
-		Expect(v.Outcome).To(Equal(flow.Unknown))
+		es := enginesOf(l)
+		id := es.packet(0, "h0", fromCaller(1, feed, flow.SYN, 0)).Endpoint
+		l.must(directory.EndpointRemoved{Instance: instanceOf(id)})
+		for range 2 {
+			es.update(0, l)
+			v := es.packet(0, "h0", fromCaller(1, feed, flow.ACK, 10))
+			Expect(v.Action).To(Equal(flow.Reset), v.Reason.String())
+			Expect(v.Outcome).To(Equal(flow.Unknown))
+			l.commit()
+		}
 	})
 })
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -64,7 +64,8 @@
 	flagCallerFIN uint8 = 1 << iota
 	flagBackendFIN
 	flagReset
-	flagSYN // this host forwarded a SYN of the flow
+	flagSYN    // this host forwarded a SYN of the flow
+	flagPlaced // the record came with a packet and is newer than any copy
 )
 
 // entry is one flow. References to other entries are slab positions; 0 is none.
--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -30,16 +30,18 @@
 	// Services lists the names of all services, quarantined ones included.
 	Services() []string
 	// Service finds a service by its address, also while it is in quarantine.
-	Service(address netip.AddrPort, protocol uint8) (*Service, bool)
-	// ServiceNamed finds a service by its name.
-	ServiceNamed(name string) (*Service, bool)
-	// Bucket returns one bucket of a service, or nil.
-	Bucket(service string, number int) *directory.Bucket
+	Service(address netip.AddrPort, protocol uint8) (Service, bool)
+	// ServiceNamed finds a service by its name, with its present address.
+	ServiceNamed(name string) (Service, bool)
+	// Bucket returns one bucket of a service.
+	Bucket(service string, number int) (directory.Bucket, bool)
 	// Endpoint finds an endpoint, tombstones included.
 	Endpoint(id directory.EndpointID) (*directory.Endpoint, bool)
+	// Accepts says whether new flows may be placed on an endpoint.
+	Accepts(id directory.EndpointID) bool
 	// EndpointsAt lists the endpoints at an address, tombstones included.
 	EndpointsAt(address netip.AddrPort) []directory.EndpointID
-	// EndpointsOf lists the endpoints of a service, in the order of their IDs.
+	// EndpointsOf lists the endpoints of a service that are not removed.
 	EndpointsOf(service string) []directory.EndpointID
 	// Holders names the first and second holder of the records of a bucket in
 	// the endpoint's failure domain. second is empty if there is only one host.
