Test the operators' client, TLS and certificate reload

Cause: the client, the server's TLS and the keys had no tests. Change: specs over real TLS servers for a dead host, a follower, an election, a lost answer, every typed error, a foreign authority, TLS 1.2, a planned stop and replaced certificate files.

--- /dev/null
+++ b/internal/operator/client_test.go
@@ -0,0 +1,270 @@
+package operator_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/document"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/operator"
+)
+
+// site is a certificate authority with servers on this machine.
+type site struct {
+	dir       string
+	authority *operator.Authority
+}
+
+func newSite() *site {
+	GinkgoHelper()
+	authority, err := operator.NewAuthority(time.Now())
+	Expect(err).NotTo(HaveOccurred())
+	return &site{GinkgoT().TempDir(), authority}
+}
+
+// issue writes a certificate for 127.0.0.1 into the files of name.
+func (s *site) issue(name string) (certFile, keyFile string) {
+	GinkgoHelper()
+	pair, err := s.authority.Issue("127.0.0.1", time.Now(), 1)
+	Expect(err).NotTo(HaveOccurred())
+	certFile, keyFile = filepath.Join(s.dir, name+".pem"), filepath.Join(s.dir, name+"-key.pem")
+	Expect(os.WriteFile(certFile, pair.Cert, 0o600)).To(Succeed())
+	Expect(os.WriteFile(keyFile, pair.Key, 0o600)).To(Succeed())
+	return certFile, keyFile
+}
+
+// serve starts a control host and returns its address and the group that runs it.
+func (s *site) serve(backend operator.Backend) (string, *duty.Group) {
+	GinkgoHelper()
+	certificate, err := operator.LoadCertificate(firstOf(s.issue("host")), filepath.Join(s.dir, "host-key.pem"), quiet)
+	Expect(err).NotTo(HaveOccurred())
+	server, err := operator.NewServer(operator.ServerOptions{
+		Address: "127.0.0.1:0", Certificate: certificate, Guard: testGuard(), Backend: backend, Log: quiet,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	group := duty.NewGroup(quiet, time.Hour, func() time.Duration { return 0 }, func(error) {})
+	for _, d := range server.Duties() {
+		group.Add(d)
+	}
+	group.Start()
+	DeferCleanup(func() { Expect(group.Stop(context.Background())).To(Succeed()) })
+	return server.Address(), group
+}
+
+func firstOf(a, _ string) string { return a }
+
+func (s *site) roots() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(s.authority.Pair.Cert)
+	return pool
+}
+
+// client returns a client with team shop's token that does not wait.
+func (s *site) client(hosts ...string) *operator.Client {
+	return operator.NewClient(operator.ClientOptions{
+		Hosts: hosts, Roots: s.roots(), Token: secrets["shop"],
+		Pause: func(context.Context, time.Duration) error { return nil },
+	})
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func desk(id string, base uint64) operator.Change {
+	return operator.Change{
+		ID: id, Author: "bob", Section: "Orders", Base: base,
+		Text: `The service "order-desk" is reached at 10.20.0.1, port 443.`,
+	}
+}
+
+var _ = Describe("Client", func() {
+	var s *site
+	var shared *store
+	ctx := context.Background()
+
+	BeforeEach(func() { s, shared = newSite(), newStore() })
+
+	// Guards against a command line that fails while one control host is down or follows.
+	It("passes over a dead host and follows the leader", func() {
+		leader, _ := s.serve(&fake{store: shared})
+		follower, _ := s.serve(&fake{store: shared, before: func() error { return &operator.NotLeader{Leader: leader} }})
+		answer, err := s.client(closedAddress(), follower).Save(ctx, desk("1", 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.InForce).To(Equal([]string{"east", "west"}))
+	})
+
+	// Guards against a change that takes effect twice, or is reported as lost,
+	// because its first answer was lost.
+	It("resends a change with a lost answer under the same ID", func() {
+		lost := false
+		address, _ := s.serve(&fake{store: shared, after: func() error {
+			if !lost {
+				lost = true
+				panic(http.ErrAbortHandler)
+			}
+			return nil
+		}})
+		answer, err := s.client(address).Save(ctx, desk("1", 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lost).To(BeTrue())
+		Expect(answer.Version).To(BeEquivalentTo(1))
+		Expect(shared.saved).To(Equal(1))
+	})
+
+	// Guards against "nothing was changed" for a change that may be in force.
+	DescribeTable("says whether a change may be in force", func(failure func(), sent bool, wanted string) {
+		address := closedAddress()
+		if failure != nil {
+			address, _ = s.serve(&fake{store: shared, after: func() error { failure(); return nil }})
+		}
+		_, err := s.client(address).Save(ctx, desk("c-1", 0))
+		var cannot *operator.CannotReach
+		Expect(errors.As(err, &cannot)).To(BeTrue(), "%v", err)
+		Expect(cannot.Sent).To(Equal(sent))
+		Expect(err.Error()).To(ContainSubstring(wanted))
+	},
+		Entry("no host", nil, false, "nothing was changed"),
+		Entry("answers lost", func() { panic(http.ErrAbortHandler) }, true, "change ID c-1 is safe"),
+	)
+
+	// Guards against a client that gives up during an election.
+	It("waits for a leader", func() {
+		asked := 0
+		address, _ := s.serve(&fake{store: shared, before: func() error {
+			if asked++; asked < 3 {
+				return &operator.NotLeader{}
+			}
+			return nil
+		}})
+		_, err := s.client(address).Save(ctx, desk("1", 0))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(asked).To(Equal(3))
+	})
+
+	// Guards against an error that changes its meaning between the control process and the operator.
+	DescribeTable("returns the backend's error", func(wanted error) {
+		address, _ := s.serve(&fake{store: shared, before: func() error { return wanted }})
+		_, err := s.client(address).Save(ctx, desk("1", 0))
+		Expect(err).To(Equal(wanted))
+	},
+		Entry("refused", &operator.Refused{Reason: "failure domain west did not confirm", Findings: []document.Finding{{Section: "A", Line: 2, Words: "x", Problem: "is not understood"}}}),
+		Entry("race", &operator.Race{Section: "Orders", Version: 8, Team: "shop", Author: "ann", Text: "Note: hello."}),
+		Entry("no quorum", &operator.NoQuorum{Reason: "1 of 3 control hosts"}),
+		Entry("unauthorised", &operator.Unauthorised{Reason: "no"}),
+		Entry("not found", &operator.NotFound{What: "section A"}),
+	)
+
+	// Guards against lists that lose fields or sections on the way.
+	It("reads sections, versions and lists", func() {
+		address, _ := s.serve(&fake{store: shared})
+		client := s.client(address)
+		_, err := client.Save(ctx, desk("1", 0))
+		Expect(err).NotTo(HaveOccurred())
+		section, err := client.Section(ctx, "Orders", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(section).To(Equal(document.Section{Heading: "Orders", Team: "shop", Version: 1, Text: desk("1", 0).Text}))
+		Expect(client.Sections(ctx)).To(Equal([]document.Section{section}))
+		Expect(client.History(ctx, "Orders")).To(HaveLen(1))
+		Expect(client.BackendServers(ctx)).To(HaveLen(1))
+		Expect(client.FailureDomains(ctx)).To(HaveLen(1))
+		Expect(client.Services(ctx)).To(BeEmpty())
+	})
+
+	// Guards against a token that is sent to a host of somebody else.
+	It("does not talk to a host that another authority signed", func() {
+		address, _ := newSite().serve(&fake{store: shared})
+		_, err := s.client(address).Save(ctx, desk("1", 0))
+		Expect(err).To(MatchError(ContainSubstring("certificate signed by unknown authority")))
+		Expect(err).To(MatchError(ContainSubstring("nothing was changed")))
+	})
+
+	// Guards against older TLS versions.
+	It("serves TLS 1.3 only", func() {
+		address, _ := s.serve(&fake{store: shared})
+		_, err := tls.Dial("tcp", address, &tls.Config{RootCAs: s.roots(), MaxVersion: tls.VersionTLS12})
+		Expect(err).To(MatchError(ContainSubstring("protocol version")))
+	})
+
+	// Guards against a planned stop that loses the answer of a save in progress.
+	It("answers a save that is in progress when the server stops", func() {
+		began, finish := make(chan struct{}), make(chan struct{})
+		address, group := s.serve(&fake{store: shared, before: func() error {
+			close(began)
+			<-finish
+			return nil
+		}})
+		result := make(chan error, 1)
+		go func() {
+			_, err := s.client(address).Save(ctx, desk("1", 0))
+			result <- err
+		}()
+		<-began
+		stopped := make(chan error, 1)
+		go func() { stopped <- group.Stop(ctx) }()
+		for { // until the server no longer accepts connections, so that the stop has begun
+			connection, err := net.Dial("tcp", address)
+			if err != nil {
+				break
+			}
+			connection.Close()
+		}
+		close(finish)
+		Expect(<-result).To(Succeed())
+		Expect(<-stopped).To(Succeed())
+	})
+})
+
+var _ = Describe("Certificate", func() {
+	// Guards against a restart for each new certificate, and against a host that
+	// serves none while its files are being replaced.
+	It("follows its files and keeps the old one while they do not match", func() {
+		s := newSite()
+		certFile, keyFile := s.issue("host")
+		certificate, err := operator.LoadCertificate(certFile, keyFile, quiet)
+		Expect(err).NotTo(HaveOccurred())
+		inUse := func() string {
+			c, err := certificate.TLS().GetCertificate(nil)
+			Expect(err).NotTo(HaveOccurred())
+			return c.Leaf.SerialNumber.String()
+		}
+		first := inUse()
+		Expect(certificate.Reload()).To(BeFalse())
+
+		otherCert, otherKey := s.issue("other")
+		Expect(os.Rename(otherCert, certFile)).To(Succeed())
+		_, err = certificate.Reload()
+		Expect(err).To(MatchError(ContainSubstring("private key does not match")))
+		Expect(inUse()).To(Equal(first))
+
+		Expect(os.Rename(otherKey, keyFile)).To(Succeed())
+		Expect(certificate.Reload()).To(BeTrue())
+		Expect(inUse()).NotTo(Equal(first))
+	})
+
+	// Guards against a second authority for a site whose machines trust the first.
+	It("is issued by an authority that was read from its files", func() {
+		s := newSite()
+		again, err := operator.ReadAuthority(s.authority.Pair)
+		Expect(err).NotTo(HaveOccurred())
+		s.authority = again
+		address, _ := s.serve(&fake{store: newStore()})
+		_, err = s.client(address).Sections(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/operator/handlers_test.go
+++ b/internal/operator/handlers_test.go
@@ -1,6 +1,7 @@
 package operator_test
 
 import (
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -35,8 +36,10 @@
 		{"old", "shop", now.Add(-time.Hour), true},
 		{"site", "site", time.Time{}, true},
 	} {
-		secret, hash := operator.NewSecret()
-		secrets[t.name] = secret
+		if secrets[t.name] == "" {
+			secrets[t.name], _ = operator.NewSecret()
+		}
+		hash := sha256.Sum256([]byte(secrets[t.name]))
 		tokens = append(tokens, operator.Token{Team: t.team, Hash: hash, Expires: t.expires, Site: t.site})
 	}
 	return operator.NewGuard(tokens, func() time.Time { return now })
