Add the operators' command line

Cause: operators need one command for the document, the state of the site and the site's keys, with exit codes that scripts can rely on. Change: cmd/cassiawood checks, saves, shows, compares and takes back sections, lists services, backend servers, hosts and failure domains in words, and makes keys.

--- /dev/null
+++ b/cmd/cassiawood/exit.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"cassiawood/internal/operator"
+)
+
+// Exit codes, which scripts rely on.
+const (
+	exitDone        = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitRace        = 3
+	exitUnreachable = 4
+)
+
+const exitCodesInWords = `Exit codes:
+  0  done
+  1  refused: the text has problems, the token does not allow it, a failure domain did not
+     confirm, or there is no such section or version
+  2  bad usage: the command line or the settings file is wrong
+  3  race: someone else has changed the section since you read it
+  4  cannot reach enough control hosts, or the outcome is unknown
+`
+
+// usageError means that the command line or a file on this machine is wrong.
+type usageError struct{ reason string }
+
+func (e *usageError) Error() string { return e.reason }
+
+func exitCode(err error) int {
+	var (
+		usage       *usageError
+		race        *operator.Race
+		cannot      *operator.CannotReach
+		noQuorum    *operator.NoQuorum
+		notLeader   *operator.NotLeader
+		unanswered  *operator.Unanswered
+		unreachable = errors.As(err, &cannot) || errors.As(err, &noQuorum) || errors.As(err, &notLeader) || errors.As(err, &unanswered)
+	)
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &race):
+		return exitRace
+	case unreachable:
+		return exitUnreachable
+	default:
+		return exitRefused
+	}
+}
+
+// inWords returns err with what the operator can do next.
+func inWords(err error) string {
+	var race *operator.Race
+	if errors.As(err, &race) {
+		return fmt.Sprintf("%v.\nThe text in force is:\n\n%s\n\nWork your change into it: cassiawood show -section %q -o FILE writes it to a file that you can change and save.",
+			err, race.Text, race.Section)
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/cmd/cassiawood/keys.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"flag"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"cassiawood/internal/document"
+	"cassiawood/internal/operator"
+)
+
+// operatorPort is used for a control host that is given without a port.
+const operatorPort = "8443"
+
+// siteTeam is the team whose token also covers failure domains and hosts.
+const siteTeam = "site"
+
+// keyMaker makes the files of a site.
+type keyMaker struct {
+	dir     string
+	hosts   []string // with ports
+	teams   []string
+	days    int
+	now     time.Time
+	written []string
+	kept    []string // files of an earlier run
+}
+
+func prepareKeys(p *program, flags *flag.FlagSet) action {
+	k := &keyMaker{now: time.Now()}
+	var hosts, teams string
+	flags.StringVar(&k.dir, "out", "", "`directory` for the files")
+	flags.StringVar(&hosts, "hosts", "", "`addresses` of the control hosts, with commas between them; the port is "+operatorPort+" if none is given")
+	flags.StringVar(&teams, "teams", "", "`names` of the teams that get a token, with commas between them; the team \""+siteTeam+"\" may also drain hosts")
+	flags.IntVar(&k.days, "days", 730, "`days` for which certificates and tokens are valid")
+	announce := flags.Bool("announce", false, "only print a token for backend servers' announcements and its fingerprint")
+	return func(context.Context, []string) error {
+		if *announce {
+			return p.announceToken()
+		}
+		k.hosts, k.teams = list(hosts), list(teams)
+		if k.dir == "" || len(k.hosts) == 0 || k.days < 1 {
+			return &usageError{"keys needs -out DIRECTORY, -hosts ADDRESSES and at least 1 day"}
+		}
+		if err := k.run(); err != nil {
+			return &usageError{err.Error()}
+		}
+		return p.print(k.inWords(), map[string][]string{"written": k.written, "kept": k.kept})
+	}
+}
+
+// check refuses names that cannot be part of a file name or a certificate, so
+// that nothing is written before all of them are known to be good.
+func (k *keyMaker) check() error {
+	for _, team := range k.teams {
+		if !document.ValidName(team) {
+			return fmt.Errorf("%q cannot be the name of a team", team)
+		}
+	}
+	for _, host := range k.hosts {
+		name, _ := splitHost(host)
+		if name == "" || strings.ContainsAny(name, `/\[]`) {
+			return fmt.Errorf("%q is not the address of a host", host)
+		}
+	}
+	return nil
+}
+
+func splitHost(host string) (name, port string) {
+	name, port, err := net.SplitHostPort(host)
+	if err != nil {
+		return host, operatorPort
+	}
+	return name, port
+}
+
+func (k *keyMaker) inWords() string {
+	var b strings.Builder
+	for _, file := range k.written {
+		fmt.Fprintf(&b, "wrote %s\n", file)
+	}
+	for _, file := range k.kept {
+		fmt.Fprintf(&b, "kept %s\n", file)
+	}
+	b.WriteString("Keep ca-key.pem away from the hosts; whoever has it can pretend to be a control host.\n")
+	return b.String()
+}
+
+func list(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+func (p *program) announceToken() error {
+	secret, hash := operator.NewSecret()
+	fingerprint := hex.EncodeToString(hash[:])
+	text := fmt.Sprintf("token for the backend servers: %s\nsentence for the document:\nIts backend servers show the announcement token with fingerprint\n\"%s\".\n", secret, fingerprint)
+	return p.print(text, map[string]string{"token": secret, "fingerprint": fingerprint})
+}
+
+func (k *keyMaker) run() error {
+	if err := k.check(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(k.dir, 0o700); err != nil {
+		return err
+	}
+	authority, err := k.authority()
+	if err != nil {
+		return err
+	}
+	addresses := make([]string, len(k.hosts))
+	for i, host := range k.hosts {
+		name, port := splitHost(host)
+		addresses[i] = net.JoinHostPort(name, port)
+		file := "control-" + strings.ReplaceAll(name, ":", "-")
+		if k.keeps(file + ".pem") {
+			continue
+		}
+		pair, err := authority.Issue(name, k.now, k.days)
+		if err != nil {
+			return err
+		}
+		if err := k.writePair(file, pair); err != nil {
+			return err
+		}
+	}
+	return k.tokens(authority, addresses)
+}
+
+// authority reads the certificate authority of an earlier run or makes one.
+func (k *keyMaker) authority() (*operator.Authority, error) {
+	cert, err := os.ReadFile(filepath.Join(k.dir, "ca.pem"))
+	if err == nil {
+		key, err := os.ReadFile(filepath.Join(k.dir, "ca-key.pem"))
+		if err != nil {
+			return nil, err
+		}
+		return operator.ReadAuthority(operator.Pair{Cert: cert, Key: key})
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	authority, err := operator.NewAuthority(k.now)
+	if err != nil {
+		return nil, err
+	}
+	return authority, k.writePair("ca", authority.Pair)
+}
+
+// keeps reports whether a file exists, which is then left as it is.
+func (k *keyMaker) keeps(name string) bool {
+	file := filepath.Join(k.dir, name)
+	if _, err := os.Lstat(file); err != nil {
+		return false
+	}
+	k.kept = append(k.kept, file)
+	return true
+}
+
+func (k *keyMaker) writePair(name string, pair operator.Pair) error {
+	return errors.Join(k.write(name+".pem", pair.Cert, 0o644), k.write(name+"-key.pem", pair.Key, 0o600))
+}
+
+func (k *keyMaker) write(name string, text []byte, mode os.FileMode) error {
+	file := filepath.Join(k.dir, name)
+	if err := writeNew(file, text, mode); err != nil {
+		return err
+	}
+	k.written = append(k.written, file)
+	return nil
+}
+
+// tokens writes each team's settings and the hashes for the control hosts.
+func (k *keyMaker) tokens(authority *operator.Authority, addresses []string) error {
+	var settings []operator.TokenSetting
+	for _, team := range k.teams {
+		if k.keeps(filepath.Join("team-"+team, "cassiawood.json")) {
+			continue
+		}
+		secret, hash := operator.NewSecret()
+		settings = append(settings, operator.TokenSetting{
+			Team: team, SHA256: hex.EncodeToString(hash[:]),
+			Expires: k.now.UTC().AddDate(0, 0, k.days).Format(time.DateOnly), Site: team == siteTeam,
+		})
+		if err := k.teamFiles(team, operator.ClientSettings{Team: team, Hosts: addresses, CA: "ca.pem", Token: secret}, authority); err != nil {
+			return err
+		}
+	}
+	if len(settings) == 0 {
+		return nil
+	}
+	text, err := operator.EncodeJSON(settings)
+	if err != nil {
+		return err
+	}
+	return k.write("tokens-"+k.now.UTC().Format("20060102-150405")+".json", text, 0o600)
+}
+
+// teamFiles writes a directory that can be given to the team as it is.
+func (k *keyMaker) teamFiles(team string, settings operator.ClientSettings, authority *operator.Authority) error {
+	text, err := operator.EncodeJSON(settings)
+	if err != nil {
+		return err
+	}
+	dir := "team-" + team
+	if err := os.MkdirAll(filepath.Join(k.dir, dir), 0o700); err != nil {
+		return err
+	}
+	return errors.Join(
+		k.write(filepath.Join(dir, "cassiawood.json"), text, 0o600),
+		k.write(filepath.Join(dir, "ca.pem"), authority.Pair.Cert, 0o644),
+	)
+}
--- /dev/null
+++ b/cmd/cassiawood/words.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"cassiawood/internal/operator"
+)
+
+// count returns a number with its noun, such as "1 section" or "2 sections".
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+// remain returns how many connections are left.
+func remain(n int) string {
+	if n == 1 {
+		return "1 connection remains"
+	}
+	return count(n, "connection") + " remain"
+}
+
+// all joins names as a sentence does.
+func all(names []string) string {
+	if len(names) < 2 {
+		return strings.Join(names, "")
+	}
+	return strings.Join(names[:len(names)-1], ", ") + " and " + names[len(names)-1]
+}
+
+func answerInWords(a operator.Answer) string {
+	text := fmt.Sprintf("section %q is now version %d and in force in %s", a.Section, a.Version, all(a.InForce))
+	if len(a.InForce) == 0 {
+		text = fmt.Sprintf("section %q is now version %d, but no failure domain is in service to follow it", a.Section, a.Version)
+	}
+	if len(a.OutOfService) > 0 {
+		text += fmt.Sprintf("; out of service, so not asked: %s", all(a.OutOfService))
+	}
+	return text
+}
+
+func serviceInWords(s operator.Service) string {
+	priority := "unbroken first"
+	if s.Priority == "balance" {
+		priority = "balance first"
+	}
+	return fmt.Sprintf("%s, %d of %s ready, %s", priority, s.Ready, count(s.BackendServers, "backend server"), count(s.Connections, "connection"))
+}
+
+func backendInWords(b operator.BackendServer) string {
+	switch {
+	case b.State == "draining" || b.State == "leaving":
+		return b.State + ", " + remain(b.Connections)
+	case b.State == "starting":
+		return "starting, takes no connections yet"
+	case b.Suspected:
+		return "suspected to have failed, takes no new connections, " + remain(b.Connections)
+	default:
+		return fmt.Sprintf("%s, %d of %s in use, %s", b.State, b.InUse, count(b.Slots, "place"), count(b.Connections, "connection"))
+	}
+}
+
+func hostInWords(h operator.Host) string {
+	text := h.State
+	if h.Kind == "entry" {
+		switch h.State {
+		case "joined":
+			text = "joined, copies what it will hold"
+		case "draining":
+			text = "draining, " + remain(h.Connections)
+		case "active":
+			text = "active, " + count(h.Connections, "connection")
+		}
+	}
+	switch {
+	case h.Behind == 1:
+		text += ", 1 entry behind"
+	case h.Behind > 1:
+		text += fmt.Sprintf(", %d entries behind", h.Behind)
+	}
+	return text
+}
+
+func domainInWords(d operator.FailureDomain) string {
+	state := "in service"
+	if d.OutOfService {
+		state = "out of service"
+		if d.DeclaredBy != "" {
+			state += " (declared by " + d.DeclaredBy + ")"
+		}
+	}
+	return fmt.Sprintf("%s, %d of %s in contact, %s", state, d.HostsInContact, count(d.Hosts, "host"), count(d.BackendServers, "backend server"))
+}
--- a/internal/document/values.go
+++ b/internal/document/values.go
@@ -26,9 +26,15 @@
 	suggestion string
 }
 
+// ValidName reports whether text can be the name of a service or team.
+func ValidName(text string) bool {
+	_, wrong := parseName(text)
+	return wrong == nil
+}
+
 func parseName(text string) (string, *fault) {
 	if text != "" && len(text) <= MaxNameBytes && text[0] >= 'a' && text[0] <= 'z' {
-		if strings.Trim(text, "abcdefghijklmnopqrstuvwxyz0123456789-") == "" && !hasOther(text) {
+		if !hasOther(text) {
 			return text, nil
 		}
 	}
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -42,7 +42,7 @@
 	}
 	handle("PUT /v1/section", a.save)
 	handle("GET /v1/section", a.section)
-	handle("GET /v1/sections", func(c *call) (any, error) { return list(a.sections(c)) })
+	handle("GET /v1/sections", a.sections)
 	handle("GET /v1/history", func(c *call) (any, error) { return list(backend.History(c, c.query("heading"))) })
 	handle("GET /v1/services", func(c *call) (any, error) { return list(backend.Services(c)) })
 	handle("GET /v1/backends", func(c *call) (any, error) { return list(backend.BackendServers(c)) })
@@ -135,8 +135,7 @@
 
 func (a *api) save(c *call) (any, error) {
 	var change Change
-	err := c.readBody(&change)
-	if err != nil {
+	if err := c.readBody(&change); err != nil {
 		return nil, err
 	}
 	change.Team = c.token.Team
@@ -167,29 +166,9 @@
 	return nil
 }
 
-// sectionJSON is a section in JSON.
-type sectionJSON struct {
-	Heading string `json:"heading"`
-	Team    string `json:"team"`
-	Version uint64 `json:"version"`
-	Text    string `json:"text"`
-}
-
-func toSectionJSON(s document.Section) sectionJSON {
-	return sectionJSON{s.Heading, s.Team, s.Version, s.Text}
-}
-
-func (s sectionJSON) section() document.Section {
-	return document.Section{Heading: s.Heading, Team: s.Team, Version: s.Version, Text: s.Text}
-}
-
-func (a *api) sections(c *call) ([]sectionJSON, error) {
+func (a *api) sections(c *call) (any, error) {
 	sections, err := a.backend.Sections(c)
-	out := make([]sectionJSON, 0, len(sections))
-	for _, s := range sections {
-		out = append(out, toSectionJSON(s))
-	}
-	return out, err
+	return SectionsJSON(sections), err
 }
 
 func (a *api) section(c *call) (any, error) {
@@ -213,8 +192,11 @@
 }
 
 func (a *api) outOfService(c *call) (any, error) {
+	if err := c.checkSite(); err != nil {
+		return nil, err
+	}
 	var change DomainChange
-	if err := errors.Join(c.checkSite(), c.readBody(&change)); err != nil {
+	if err := c.readBody(&change); err != nil {
 		return nil, err
 	}
 	change.Team = c.token.Team
@@ -225,8 +207,11 @@
 }
 
 func (a *api) drain(c *call) (any, error) {
+	if err := c.checkSite(); err != nil {
+		return nil, err
+	}
 	var drain HostDrain
-	if err := errors.Join(c.checkSite(), c.readBody(&drain)); err != nil {
+	if err := c.readBody(&drain); err != nil {
 		return nil, err
 	}
 	drain.Team = c.token.Team
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -16,6 +16,9 @@
 	Findings []finding `json:"findings,omitempty"`
 	Winner   *winner   `json:"winner,omitempty"`
 	Leader   string    `json:"leader,omitempty"`
+	// Sent and ChangeID appear only in the output of the command line.
+	Sent     bool   `json:"sent,omitempty"`
+	ChangeID string `json:"change_id,omitempty"`
 }
 
 // finding is a document.Finding in JSON.
@@ -111,6 +114,19 @@
 	}
 }
 
+// ErrorJSON returns err as the API shows it, for scripts.
+func ErrorJSON(err error) any {
+	_, p, known := toProblem(err)
+	if !known {
+		p.Kind, p.Message = "other", err.Error()
+	}
+	var cannot *CannotReach
+	if errors.As(err, &cannot) {
+		p = problem{Kind: "cannot reach", Message: err.Error(), Sent: cannot.Sent, ChangeID: cannot.ChangeID}
+	}
+	return map[string]problem{"error": p}
+}
+
 // toError returns the error that p stands for.
 func (p problem) toError() error {
 	switch p.Kind {
