--- /dev/null
+++ b/internal/control/links.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// memberLink sends the messages of the log to one other control host. The
+// messages of the log may be lost, so a message that finds no connection is
+// dropped and the next one dials again.
+type memberLink struct {
+	log     *slog.Logger
+	address string
+	tls     *tls.Config
+	outbox  *ring.Ring[changelog.Message]
+
+	session *wire.Session
+	stream  *wire.Stream
+}
+
+func (l *memberLink) run(ctx context.Context, progress *duty.Progress) error {
+	defer l.disconnect()
+	for {
+		m, err := l.outbox.Get()
+		if err != nil {
+			return nil
+		}
+		progress.Begin()
+		err = l.send(ctx, m)
+		progress.End()
+		if err != nil {
+			l.log.Debug("message to control host lost", "address", l.address, "error", err)
+			l.disconnect()
+		}
+	}
+}
+
+func (l *memberLink) send(ctx context.Context, m changelog.Message) error {
+	if l.stream == nil {
+		if err := l.connect(ctx); err != nil {
+			return err
+		}
+	}
+	return l.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(m)}})
+}
+
+func (l *memberLink) connect(ctx context.Context) error {
+	session, err := wire.Dial(ctx, l.address, l.tls)
+	if err != nil {
+		return err
+	}
+	l.session = session
+	l.stream, err = session.Open()
+	return err
+}
+
+func (l *memberLink) disconnect() {
+	if l.session != nil {
+		_ = l.session.Close()
+	}
+	l.session, l.stream = nil, nil
+}
+
+// linkServer accepts sessions of control and entry hosts. Each stream has a
+// reading duty of its own, which translates envelopes into events.
+type linkServer struct {
+	logger   *slog.Logger
+	listener net.Listener
+	tls      *tls.Config
+	log      *ring.Ring[logEvent]
+	apply    *ring.Ring[applyEvent]
+}
+
+func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept link: %w", err)
+		}
+		go s.serveSession(ctx, conn)
+	}
+}
+
+func (s *linkServer) serveSession(ctx context.Context, conn net.Conn) {
+	session, err := wire.Accept(conn, s.tls)
+	if err != nil {
+		s.logger.Warn("session refused", "from", conn.RemoteAddr(), "error", err)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveStream(stream)
+	}
+}
+
+// serveStream reads one stream. The first envelope decides its purpose.
+func (s *linkServer) serveStream(stream *wire.Stream) {
+	defer func() { _ = stream.Close() }()
+	out := ring.New[*wirepb.Envelope]("stream-out", streamOutboxCapacity, ring.DropNewest)
+	defer out.Close()
+	go writeStream(stream, out)
+	following := false
+	for {
+		envelope, err := stream.Receive()
+		if err == nil {
+			err = s.dispatch(envelope, out, &following)
+		}
+		if err != nil {
+			s.logger.Debug("stream ended", "reason", err)
+			if following {
+				_, _ = s.apply.Put(applyUnfollow{out: out})
+			}
+			return
+		}
+	}
+}
+
+func writeStream(stream *wire.Stream, out *ring.Ring[*wirepb.Envelope]) {
+	defer func() { _ = stream.Close() }()
+	for {
+		envelope, err := out.Get()
+		if err != nil || stream.Send(envelope) != nil {
+			return
+		}
+	}
+}
+
+func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[*wirepb.Envelope], following *bool) error {
+	switch body := e.GetBody().(type) {
+	case *wirepb.Envelope_LogMessage:
+		m, err := wire.LogMessageFromProto(body.LogMessage)
+		if err != nil {
+			return err
+		}
+		s.log.Offer(logMessage{message: m})
+		return nil
+	case *wirepb.Envelope_FollowRequest:
+		*following = true
+		r := body.FollowRequest
+		_, err := s.apply.Put(applyFollow{
+			from: r.GetFromIndex(), host: r.GetHost(), domain: r.GetDomain(), incarnation: r.GetIncarnation(), out: out,
+		})
+		return err
+	case *wirepb.Envelope_Applied:
+		a := body.Applied
+		_, err := s.apply.Put(applyAcknowledged{
+			host: a.GetHost(), incarnation: a.GetIncarnation(), index: a.GetIndex(),
+			sentNs: a.GetSentNs(), out: out,
+		})
+		return err
+	case *wirepb.Envelope_ProposeRequest:
+		_, err := s.apply.Put(applyPropose{request: body.ProposeRequest, out: out})
+		return err
+	default:
+		return fmt.Errorf("unexpected envelope %T", body)
+	}
+}
--- /dev/null
+++ b/internal/control/module.go
@@ -0,0 +1,252 @@
+// Package control holds the duties of a control host's process: the replicated
+// log and its storage, the directory, leases, links and the operators' interface.
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"cassiawood/internal/audit"
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/changelog/wal"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/member"
+	"cassiawood/internal/operator"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/settings"
+	"cassiawood/internal/telemetry"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	logInboxCapacity     = 8192
+	applyInboxCapacity   = 8192
+	memberOutboxCapacity = 1024
+	streamOutboxCapacity = 256
+	auditCapacity        = 1024
+	// tickInterval is a fifth of the heartbeat of the log.
+	tickInterval = 10 * time.Millisecond
+	// applyTickEvery lets the apply duty tick every 100 ms.
+	applyTickEvery = 10
+	// handlerLimit is above the longest sync that a working disk takes.
+	handlerLimit = 10 * time.Second
+)
+
+// Host is the running process.
+type Host struct {
+	log      *slog.Logger
+	settings settings.ControlHost
+	group    *duty.Group
+	store    *wal.Storage
+	trail    *audit.Trail
+	logInbox *ring.Ring[logEvent]
+	storage  *ring.Ring[changelog.Ready]
+	apply    *ring.Ring[applyEvent]
+	audit    *ring.Ring[audit.Record]
+	members  map[uint64]*ring.Ring[changelog.Message]
+	listener net.Listener
+}
+
+// Module provides the control host's process for fx. It needs
+// settings.ControlHost, *slog.Logger, *tls.Config (nil on loopback) and
+// metrics.Registry.
+var Module = fx.Module("control", fx.Provide(newHost), fx.Invoke(register))
+
+func newHost(s settings.ControlHost, log *slog.Logger, config *tls.Config, registry metrics.Registry,
+	shutdown fx.Shutdowner,
+) (*Host, error) {
+	h := &Host{
+		log: log, settings: s,
+		logInbox: ring.New[logEvent]("log-in", logInboxCapacity, ring.Block),
+		storage:  ring.New[changelog.Ready]("storage-in", 1, ring.Block),
+		apply:    ring.New[applyEvent]("apply-in", applyInboxCapacity, ring.Block),
+		audit:    ring.New[audit.Record]("audit-in", auditCapacity, ring.Block),
+		members:  map[uint64]*ring.Ring[changelog.Message]{},
+	}
+	telemetry.RegisterRing(registry, h.logInbox)
+	telemetry.RegisterRing(registry, h.apply)
+	telemetry.RegisterRing(registry, h.audit)
+	clock := newClock()
+	h.group = duty.NewGroup(log, handlerLimit, clock, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
+	node, state, err := h.openData(clock)
+	if err != nil {
+		return nil, err
+	}
+	self := s.Self()
+	if h.listener, err = net.Listen("tcp", self.LinkAddress.String()); err != nil {
+		return nil, fmt.Errorf("linkAddress: %w", err)
+	}
+	h.addDuties(node, state, config, clock)
+	return h, h.addOperators()
+}
+
+// addOperators adds the duties of the operators' interface.
+func (h *Host) addOperators() error {
+	s := h.settings
+	certificate, err := operator.LoadCertificate(s.OperatorTLS.CertificateFile, s.OperatorTLS.KeyFile, h.log)
+	if err != nil {
+		return fmt.Errorf("operatorTls: %w", err)
+	}
+	var tokens []operator.Token
+	for _, team := range s.Teams {
+		token := operator.Token{Team: team.Name, Site: team.Site}
+		// The settings are checked, so neither can fail.
+		_, _ = hex.Decode(token.Hash[:], []byte(team.TokenSHA256))
+		token.Expires, _ = time.Parse(time.RFC3339, team.Expires)
+		tokens = append(tokens, token)
+	}
+	server, err := operator.NewServer(operator.ServerOptions{
+		Address: s.OperatorAddress.String(), Certificate: certificate, Guard: operator.NewGuard(tokens, time.Now),
+		Backend: operatorBackend{apply: h.apply}, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	for _, d := range server.Duties() {
+		h.group.Add(d)
+	}
+	return nil
+}
+
+// newClock returns a clock in time since the Unix epoch that does not jump when
+// the wall clock is set.
+func newClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+}
+
+// openData reads the data folder and returns the log and the directory as of its snapshot.
+func (h *Host) openData(clock func() time.Duration) (*changelog.Node, *directory.State, error) {
+	if err := os.MkdirAll(h.settings.DataFolder, 0o750); err != nil {
+		return nil, nil, fmt.Errorf("dataFolder: %w", err)
+	}
+	folder, err := wal.NewDir(filepath.Join(h.settings.DataFolder, "log"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("dataFolder: %w", err)
+	}
+	store, recovered, err := wal.Open(folder)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open the log: %w", err)
+	}
+	if recovered.TornBytes > 0 {
+		h.log.Warn("torn record removed", "file", recovered.TornFile, "bytes", recovered.TornBytes)
+	}
+	h.store = store
+	if h.trail, err = audit.Open(filepath.Join(h.settings.DataFolder, "audit.jsonl")); err != nil {
+		return nil, nil, err
+	}
+	state := directory.New()
+	if recovered.Snapshot.Index > 0 {
+		if state, err = decodeState(recovered.Snapshot.State); err != nil {
+			return nil, nil, fmt.Errorf("read the snapshot: %w", err)
+		}
+	}
+	node, err := changelog.New(h.logConfig(clock), recovered.HardState, recovered.Snapshot, recovered.Entries)
+	if err != nil {
+		return nil, nil, fmt.Errorf("start the log: %w", err)
+	}
+	return node, state, nil
+}
+
+func (h *Host) logConfig(clock func() time.Duration) changelog.Config {
+	config := changelog.Config{
+		ID: h.settings.ID, Seed: h.settings.ID ^ uint64(clock()), Rejoining: h.settings.Rejoining,
+		KeepEntries: windowEntries,
+	}
+	for _, m := range h.settings.Members {
+		config.Members = append(config.Members, m.ID)
+	}
+	return config
+}
+
+func (h *Host) addDuties(node *changelog.Node, state *directory.State, config *tls.Config, clock func() time.Duration) {
+	addresses, operators, domains := map[uint64]string{}, map[uint64]string{}, map[uint64]string{}
+	for _, m := range h.settings.Members {
+		addresses[m.ID], operators[m.ID] = m.LinkAddress.String(), m.OperatorURL
+		domains[m.ID] = m.FailureDomain
+		if m.ID == h.settings.ID {
+			continue
+		}
+		outbox := ring.New[changelog.Message](fmt.Sprintf("member-%d-out", m.ID), memberOutboxCapacity, ring.DropOldest)
+		h.members[m.ID] = outbox
+		link := &memberLink{log: h.log, address: m.LinkAddress.String(), tls: config, outbox: outbox}
+		h.group.Add(duty.Duty{Name: "link to " + link.address, Run: link.run})
+	}
+	logs := &logDuty{log: h.log, node: node, storage: h.storage, apply: h.apply, members: h.members}
+	storing := &storageDuty{store: h.store, log: h.logInbox}
+	applying := &applyDuty{
+		log: h.log, logInbox: h.logInbox, audit: h.audit, addresses: addresses, operators: operators,
+		controlDomains: domains, domains: h.settings.FailureDomains, clock: clock,
+		state: state, leases: member.New(state), replies: map[uint64]replyTo{}, compacted: state.Index(),
+		confirmed: map[string]confirmation{}, waiting: map[string][]waiter{}, followers: map[*ring.Ring[*wirepb.Envelope]]*follower{},
+	}
+	server := &linkServer{logger: h.log, listener: h.listener, tls: config, log: h.logInbox, apply: h.apply}
+	ticker := &clockDuty{log: h.logInbox, apply: h.apply, clock: clock}
+	h.group.Add(duty.FromRing("log", h.logInbox, logs.handle))
+	h.group.Add(duty.FromRing("storage", h.storage, storing.handle))
+	h.group.Add(duty.FromRing("directory", h.apply, applying.handle))
+	h.group.Add(duty.FromRing("audit trail", h.audit, h.trail.Append))
+	h.group.Add(duty.Duty{Name: "link server", Run: server.run})
+	h.group.Add(duty.Duty{Name: "clock", Run: ticker.run})
+}
+
+func register(lifecycle fx.Lifecycle, h *Host) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			h.group.Start()
+			h.log.Info("control host started", "id", h.settings.ID, "link", h.listener.Addr())
+			return nil
+		},
+		OnStop: h.stop,
+	})
+}
+
+func (h *Host) stop(ctx context.Context) error {
+	h.group.BeginStop()
+	h.apply.Close()
+	h.logInbox.Close()
+	h.storage.Close()
+	h.audit.Close()
+	for _, outbox := range h.members {
+		outbox.Close()
+	}
+	err := h.group.Stop(ctx)
+	return errors.Join(err, h.store.Close(), h.trail.Close())
+}
+
+// clockDuty puts ticks into the inboxes. A full inbox loses a tick, since the
+// next one carries the later time.
+type clockDuty struct {
+	log   *ring.Ring[logEvent]
+	apply *ring.Ring[applyEvent]
+	clock func() time.Duration
+}
+
+func (d *clockDuty) run(ctx context.Context, _ *duty.Progress) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			now := d.clock()
+			d.log.Offer(logTick{now: now})
+			if n%applyTickEvery == 0 {
+				d.apply.Offer(applyTick{now: now})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/propose.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"fmt"
+	"net/netip"
+
+	"cassiawood/internal/announce"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/member"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// replyTo is where the answer to a proposal goes.
+type replyTo struct {
+	out *ring.Ring[*wirepb.Envelope]
+	id  uint64 // of the request on its stream
+}
+
+func (r replyTo) send(reply *wirepb.ProposeReply) {
+	reply.Id = r.id
+	r.out.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_ProposeReply{ProposeReply: reply}})
+}
+
+// proposeFor passes a proposal of an entry host to the leases. A host that is
+// not the leader answers with the leader's address, or not at all while it
+// knows none, so that the entry host asks again.
+func (d *applyDuty) proposeFor(e applyPropose) {
+	to := replyTo{out: e.out, id: e.request.GetId()}
+	if !d.leases.Leading() {
+		if leader, ok := d.addresses[d.status.Leader]; ok && d.status.Leader != d.status.ID {
+			to.send(&wirepb.ProposeReply{Leader: leader})
+		}
+		return
+	}
+	d.nextReply++
+	event, err := d.eventOf(e.request, d.nextReply)
+	if err != nil {
+		to.send(&wirepb.ProposeReply{Reason: err.Error()})
+		return
+	}
+	d.replies[d.nextReply] = to
+	d.step(event)
+	if probed, ok := event.(member.Probed); ok {
+		d.log.Debug("probe", "instance", probed.Instance, "healthy", probed.Healthy)
+		delete(d.replies, d.nextReply)
+		to.send(&wirepb.ProposeReply{Accepted: true})
+	}
+}
+
+func (d *applyDuty) eventOf(request *wirepb.ProposeRequest, id uint64) (member.Event, error) {
+	switch body := request.GetBody().(type) {
+	case *wirepb.ProposeRequest_Announcement:
+		a, err := wire.AnnouncementFromProto(body.Announcement)
+		if err != nil {
+			return nil, err
+		}
+		if err := d.checkSource(a); err != nil {
+			return nil, err
+		}
+		return member.Announced{ID: id, Endpoint: a.Endpoint, Lease: a.Lease, Token: a.Token}, nil
+	case *wirepb.ProposeRequest_Host:
+		host, err := wire.HostFromWire(body.Host)
+		return member.HostHello{ID: id, Host: host}, err
+	case *wirepb.ProposeRequest_HostStopping:
+		ref := body.HostStopping
+		return member.HostStopping{ID: id, Name: ref.GetName(), Incarnation: ref.GetIncarnation()}, nil
+	case *wirepb.ProposeRequest_HostComplete:
+		ref := body.HostComplete
+		return member.HostComplete{ID: id, Name: ref.GetName(), Incarnation: ref.GetIncarnation()}, nil
+	case *wirepb.ProposeRequest_Probe:
+		return member.Probed{Instance: body.Probe.GetInstance(), Healthy: body.Probe.GetHealthy()}, nil
+	default:
+		return nil, fmt.Errorf("unknown proposal %T", body)
+	}
+}
+
+// checkSource checks that the service accepts announcements from the address.
+func (d *applyDuty) checkSource(a announce.Announcement) error {
+	service, ok := d.state.ServiceAnnouncedAs(a.Endpoint.Service)
+	if ok && !sourceAllowed(service.AllowedSources, a.Endpoint.Address.Addr()) {
+		return fmt.Errorf("the service %q does not accept backend servers at %s", service.Name, a.Endpoint.Address.Addr())
+	}
+	return nil
+}
+
+// sourceAllowed reports whether the address lies in one of the prefixes. No
+// prefix means that every address may announce itself.
+func sourceAllowed(allowed []netip.Prefix, source netip.Addr) bool {
+	for _, prefix := range allowed {
+		if prefix.Contains(source.Unmap()) {
+			return true
+		}
+	}
+	return len(allowed) == 0
+}
+
+// step passes an event to the leases and carries out their effects.
+func (d *applyDuty) step(event member.Event) {
+	for _, effect := range d.leases.Step(d.now, event) {
+		switch e := effect.(type) {
+		case member.Propose:
+			d.propose(e.Command)
+		case member.Reply:
+			if to, ok := d.replies[e.ID]; ok {
+				delete(d.replies, e.ID)
+				to.send(&wirepb.ProposeReply{Accepted: e.Accepted, Reason: e.Reason})
+			}
+		}
+	}
+}
+
+// propose asks the log for an entry. A proposal that is lost is made again by
+// whoever needs it: the leases after a time, operators with the same change ID.
+func (d *applyDuty) propose(command directory.Command) bool {
+	data, err := wire.EncodeCommand(command)
+	if err != nil {
+		d.log.Error("command does not encode", "command", fmt.Sprintf("%T", command), "error", err)
+		return false
+	}
+	return d.logInbox.Offer(logPropose{data: data})
+}
+
+// record puts the outcome of an entry that operators care about into the audit trail.
+func (d *applyDuty) record(e directory.Entry, outcome directory.Outcome) {
+	record, ok := auditRecord(e, outcome)
+	if !ok {
+		return
+	}
+	if _, err := d.audit.Put(record); err != nil {
+		d.log.Warn("audit record not kept", "index", e.Index, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/control/views.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/operator"
+)
+
+var endpointStates = map[directory.EndpointState]string{
+	directory.Starting: "starting", directory.Ready: "ready", directory.Draining: "draining", directory.Leaving: "leaving",
+}
+
+// hostContactAge is the silence after which a host is shown as silent.
+const hostContactAge = 2 * time.Second
+
+// Sections returns the sections in force.
+func (b operatorBackend) Sections(context.Context) ([]document.Section, error) {
+	return ask(b, func(d *applyDuty) ([]document.Section, error) {
+		var sections []document.Section
+		for _, s := range d.state.Sections() {
+			sections = append(sections, s.Section)
+		}
+		return sections, nil
+	})
+}
+
+// Section returns one section; only the version in force is kept.
+func (b operatorBackend) Section(_ context.Context, heading string, version uint64) (document.Section, error) {
+	return ask(b, func(d *applyDuty) (document.Section, error) {
+		s, ok := d.state.Section(heading)
+		if !ok {
+			return document.Section{}, &operator.NotFound{What: fmt.Sprintf("section %q", heading)}
+		}
+		if version != 0 && version != s.Version {
+			return document.Section{}, &operator.NotFound{What: fmt.Sprintf("version %d of section %q", version, heading)}
+		}
+		return s.Section, nil
+	})
+}
+
+// History returns the accepted versions that are kept.
+func (b operatorBackend) History(_ context.Context, heading string) ([]operator.Revision, error) {
+	return ask(b, func(d *applyDuty) ([]operator.Revision, error) {
+		s, ok := d.state.Section(heading)
+		if !ok {
+			return nil, &operator.NotFound{What: fmt.Sprintf("section %q", heading)}
+		}
+		return []operator.Revision{{Version: s.Version, Team: s.Team, Author: s.Author, ChangeID: s.ChangeID}}, nil
+	})
+}
+
+// Services returns the services in force.
+func (b operatorBackend) Services(context.Context) ([]operator.Service, error) {
+	return ask(b, func(d *applyDuty) ([]operator.Service, error) {
+		var services []operator.Service
+		for _, name := range d.state.Services() {
+			if s, _ := d.state.Service(name); !s.Quarantined {
+				services = append(services, d.serviceView(s))
+			}
+		}
+		return services, nil
+	})
+}
+
+func (d *applyDuty) serviceView(s *directory.ServiceState) operator.Service {
+	view := operator.Service{
+		Name: s.Name, Section: s.Section, Address: s.Address.String(), Protocol: "TCP", Priority: "unbroken",
+		AnnouncedAs: s.AnnouncedAs, BackendServers: len(s.Members()),
+	}
+	if s.Protocol == document.UDP {
+		view.Protocol = "UDP"
+	}
+	if s.Priority == document.BalanceFirst {
+		view.Priority = "balance"
+	}
+	if section, ok := d.state.Section(s.Section); ok {
+		view.Team = section.Team
+	}
+	for _, id := range s.Members() {
+		if e, ok := d.state.Endpoint(id); ok && e.State.AcceptsFlows() {
+			view.Ready++
+		}
+	}
+	return view
+}
+
+// BackendServers returns the backend servers that are present.
+func (b operatorBackend) BackendServers(context.Context) ([]operator.BackendServer, error) {
+	return ask(b, func(d *applyDuty) ([]operator.BackendServer, error) {
+		var servers []operator.BackendServer
+		for _, id := range d.state.Endpoints() {
+			e, _ := d.state.Endpoint(id)
+			if e.State == directory.Removed {
+				continue
+			}
+			servers = append(servers, operator.BackendServer{
+				Instance: e.Instance, Service: e.Service, Address: e.Address.String(), Domain: e.Domain,
+				State: endpointStates[e.State], Suspected: e.Suspected, Slots: e.Slots,
+			})
+		}
+		return servers, nil
+	})
+}
+
+// Hosts returns the entry hosts and the control hosts.
+func (b operatorBackend) Hosts(context.Context) ([]operator.Host, error) {
+	return ask(b, func(d *applyDuty) ([]operator.Host, error) { return d.hostViews(), nil })
+}
+
+func (d *applyDuty) hostViews() []operator.Host {
+	var hosts []operator.Host
+	for _, h := range d.state.Hosts() {
+		view := operator.Host{Name: h.Name, Kind: "entry", Domain: h.Domain, State: "joined"}
+		if h.State == directory.HostActive {
+			view.State = "active"
+		}
+		seen := d.confirmed[h.Name]
+		view.Behind = d.state.Index() - min(seen.index, d.state.Index())
+		if d.now-seen.at > hostContactAge {
+			view.State = "silent"
+		}
+		hosts = append(hosts, view)
+	}
+	for id, domain := range d.controlDomains {
+		view := operator.Host{Name: fmt.Sprintf("control-%d", id), Kind: "control", Domain: domain, State: "voter"}
+		if id == d.status.Leader {
+			view.State = "leader"
+		}
+		hosts = append(hosts, view)
+	}
+	return hosts
+}
+
+// FailureDomains returns the failure domains of the settings and the directory.
+func (b operatorBackend) FailureDomains(context.Context) ([]operator.FailureDomain, error) {
+	return ask(b, func(d *applyDuty) ([]operator.FailureDomain, error) {
+		var views []operator.FailureDomain
+		for _, domain := range d.domains {
+			views = append(views, d.domainView(domain))
+		}
+		return views, nil
+	})
+}
+
+func (d *applyDuty) domainView(domain string) operator.FailureDomain {
+	view := operator.FailureDomain{Name: domain, OutOfService: d.state.DomainOut(domain)}
+	for _, h := range d.state.Hosts() {
+		if h.Domain != domain {
+			continue
+		}
+		view.Hosts++
+		if d.now-d.confirmed[h.Name].at <= hostContactAge {
+			view.HostsInContact++
+		}
+	}
+	for _, id := range d.state.Endpoints() {
+		if e, _ := d.state.Endpoint(id); e.Domain == domain && e.State != directory.Removed {
+			view.BackendServers++
+		}
+	}
+	return view
+}
+
+// DeclareOutOfService proposes the declaration. A repetition has no effect.
+func (b operatorBackend) DeclareOutOfService(_ context.Context, change operator.DomainChange) error {
+	_, err := ask(b, func(d *applyDuty) (struct{}, error) {
+		if err := d.checkLeads(); err != nil {
+			return struct{}{}, err
+		}
+		if !d.propose(directory.DomainService{Domain: change.Domain, Out: change.Out, Author: change.Author}) {
+			return struct{}{}, &operator.NoQuorum{Reason: "the log takes no proposals"}
+		}
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// DrainHost takes a host out of the directory; the host sees it and hands over.
+func (b operatorBackend) DrainHost(_ context.Context, drain operator.HostDrain) error {
+	_, err := ask(b, func(d *applyDuty) (struct{}, error) {
+		if err := d.checkLeads(); err != nil {
+			return struct{}{}, err
+		}
+		h, ok := d.state.Host(drain.Host)
+		if !ok {
+			return struct{}{}, &operator.NotFound{What: fmt.Sprintf("host %q", drain.Host)}
+		}
+		if !d.propose(directory.HostRemoved{Name: h.Name, Incarnation: h.Incarnation}) {
+			return struct{}{}, &operator.NoQuorum{Reason: "the log takes no proposals"}
+		}
+		return struct{}{}, nil
+	})
+	return err
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -91,11 +91,17 @@
 	go g.watch(ctx)
 }
 
+// BeginStop cancels the duties without waiting for them, so that closing their
+// rings and sockets is not taken for a failure.
+func (g *Group) BeginStop() {
+	g.stopping.Store(true)
+	g.cancel()
+}
+
 // Stop cancels the duties and waits for them until ctx ends. It returns an
 // error that names the duties that were still in a handler.
 func (g *Group) Stop(ctx context.Context) error {
-	g.stopping.Store(true)
-	g.cancel()
+	g.BeginStop()
 	finished := make(chan struct{})
 	go func() {
 		g.done.Wait()
--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"time"
 
+	"cassiawood/internal/directory"
 	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -298,7 +299,11 @@
 		_, err = l.engine.Put(engineEntries{entries: entries, contact: contactOf(body.EntryBatch)})
 		return err
 	case *wirepb.Envelope_Snapshot:
-		state, err := wire.DecodeState(body.Snapshot.GetState())
+		snapshot, err := wire.DecodeState(body.Snapshot.GetState())
+		if err != nil {
+			return err
+		}
+		state, err := directory.FromSnapshot(snapshot)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -162,7 +162,7 @@
 }
 
 func (d *engineDuty) tableChanged(now time.Duration) {
-	d.flow.SetTable(now, newTable(d.state))
+	d.flow.SetTable(now, flow.TableOf(d.state))
 	d.names.update(d.state)
 	targets := []peerTarget{}
 	for _, h := range d.state.Hosts() {
--- a/internal/entry/io.go
+++ b/internal/entry/io.go
@@ -137,8 +137,12 @@
 // Submit waits until the control link duty has an answer, which it always gives
 // within proposalTimeout.
 func (s submitter) Submit(_ context.Context, a announce.Announcement) error {
+	request, err := wire.AnnouncementToProto(a)
+	if err != nil {
+		return err
+	}
 	result := ring.New[proposalResult]("announcement", 1, ring.DropNewest)
-	if !s.control.Offer(controlPropose{request: wire.AnnouncementToProto(a), result: result}) {
+	if !s.control.Offer(controlPropose{request: request, result: result}) {
 		return errNoLeader
 	}
 	answer, err := result.Get()
--- /dev/null
+++ b/internal/entry/module.go
@@ -0,0 +1,181 @@
+// Package entry holds the duties of an entry host's process: reading, deciding
+// and writing packets, following the log, links to peers, announcements and probes.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"golang.org/x/net/ipv4"
+
+	"cassiawood/internal/announce"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/flow"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/settings"
+	"cassiawood/internal/telemetry"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	engineInboxCapacity  = 4096
+	controlInboxCapacity = 4096
+	peersInboxCapacity   = 8192
+	// handlerLimit is how long a duty may stay in one handler before the watchdog
+	// ends the process; a dial to a silent control host takes 2 s.
+	handlerLimit = 10 * time.Second
+	// socketBufferBytes absorbs bursts while the engine is busy.
+	socketBufferBytes = 4 << 20
+)
+
+// rings join the duties of the process.
+type rings struct {
+	free    *ring.Ring[*batch]
+	out     *ring.Ring[*batch]
+	engine  *ring.Ring[engineEvent]
+	control *ring.Ring[controlEvent]
+	peers   *ring.Ring[peerCommand]
+	probes  *ring.Ring[[]probeTarget]
+}
+
+func newRings(registry metrics.Registry) *rings {
+	r := &rings{
+		free:    newBatches(),
+		out:     ring.New[*batch]("packet-out", batchCount+1, ring.Block),
+		engine:  ring.New[engineEvent]("engine-in", engineInboxCapacity, ring.Block),
+		control: ring.New[controlEvent]("control-in", controlInboxCapacity, ring.Block),
+		peers:   ring.New[peerCommand]("peers-in", peersInboxCapacity, ring.Block),
+		probes:  ring.New[[]probeTarget]("probe-targets", 1, ring.DropOldest),
+	}
+	telemetry.RegisterRing(registry, r.out)
+	telemetry.RegisterRing(registry, r.engine)
+	telemetry.RegisterRing(registry, r.control)
+	telemetry.RegisterRing(registry, r.peers)
+	return r
+}
+
+func (r *rings) close() {
+	r.free.Close()
+	r.out.Close()
+	r.engine.Close()
+	r.control.Close()
+	r.peers.Close()
+	r.probes.Close()
+}
+
+// sockets are opened before any duty starts, so that a bad address is reported at once.
+type sockets struct {
+	packets  *net.UDPConn
+	peers    net.Listener
+	announce net.Listener
+}
+
+func openSockets(s settings.EntryHost) (*sockets, error) {
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.PacketAddress))
+	if err != nil {
+		return nil, fmt.Errorf("packetAddress: %w", err)
+	}
+	// The kernel may grant less than asked for; that only lowers what a burst may hold.
+	_ = packets.SetReadBuffer(socketBufferBytes)
+	peers, errPeers := net.Listen("tcp", s.PeerAddress.String())
+	announcements, errAnnounce := net.Listen("tcp", s.AnnounceAddress.String())
+	if err := errors.Join(errPeers, errAnnounce); err != nil {
+		return nil, fmt.Errorf("open sockets: %w", err)
+	}
+	return &sockets{packets: packets, peers: peers, announce: announcements}, nil
+}
+
+// Module provides the entry host's process for fx. It needs settings.EntryHost,
+// *slog.Logger, *tls.Config (nil on loopback) and metrics.Registry.
+var Module = fx.Module("entry", fx.Provide(newRings, openSockets, newHost), fx.Invoke(register))
+
+// Host is the running process.
+type Host struct {
+	log      *slog.Logger
+	settings settings.EntryHost
+	group    *duty.Group
+	rings    *rings
+	sockets  *sockets
+	peers    *peers
+	server   *http.Server
+	cancel   context.CancelFunc
+}
+
+func newHost(s settings.EntryHost, log *slog.Logger, config *tls.Config, registry metrics.Registry, r *rings,
+	k *sockets, shutdown fx.Shutdowner,
+) *Host {
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	self := &wirepb.Host{
+		Name: s.Host, Incarnation: uint64(start.UnixNano()), Domain: s.FailureDomain,
+		PacketAddr: s.PacketAddress.String(), PeerAddr: s.PeerAddress.String(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{log: log, settings: s, rings: r, sockets: k, cancel: cancel}
+	h.peers = &peers{log: log, tls: config, links: map[string]*peerLink{}, ctx: ctx}
+	h.group = duty.NewGroup(log, handlerLimit, clock, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
+	engine := &engineDuty{
+		log: log, self: self, state: directory.New(), fabric: s.FabricAddress, out: r.out, control: r.control,
+		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, heard: map[string]heardPeer{},
+		flow: flow.New(flow.Config{
+			Host: self.GetName(), Incarnation: self.GetIncarnation(), Domain: self.GetDomain(),
+			Seed: self.GetIncarnation(), Capacity: s.MaxFlows,
+		}),
+	}
+	h.addDuties(engine, config, clock)
+	h.server = &http.Server{Handler: announce.Handler(submitter{control: r.control}), ReadTimeout: handlerLimit}
+	return h
+}
+
+func (h *Host) addDuties(engine *engineDuty, config *tls.Config, clock func() time.Duration) {
+	r, k := h.rings, h.sockets
+	addresses := make([]string, 0, len(h.settings.ControlHosts))
+	for _, a := range h.settings.ControlHosts {
+		addresses = append(addresses, a.String())
+	}
+	link := &controlLink{
+		log: h.log, addresses: addresses, tls: config, self: engine.self, inbox: r.control, engine: r.engine,
+		pending: map[uint64]pendingProposal{},
+	}
+	reader := &readerDuty{socket: k.packets, free: r.free, engine: r.engine}
+	writer := &writerDuty{conn: ipv4.NewPacketConn(k.packets), free: r.free}
+	peerServer := &peerServer{log: h.log, listener: k.peers, tls: config, engine: r.engine}
+	prober := &proberDuty{prober: announce.NewProber(), targets: r.probes, engine: r.engine, control: r.control}
+	ticker := &clockDuty{engine: r.engine, control: r.control, clock: clock}
+	h.group.Add(duty.Duty{Name: "fabric reader", Run: reader.run})
+	h.group.Add(duty.FromRing("flow engine", r.engine, engine.handle))
+	h.group.Add(duty.FromRing("fabric writer", r.out, writer.handle))
+	h.group.Add(duty.Duty{Name: "control link", Run: link.run})
+	h.group.Add(duty.FromRing("peer links", r.peers, h.peers.handle))
+	h.group.Add(duty.Duty{Name: "peer server", Run: peerServer.run})
+	h.group.Add(duty.Duty{Name: "prober", Run: prober.run})
+	h.group.Add(duty.Duty{Name: "clock", Run: ticker.run})
+}
+
+func register(lifecycle fx.Lifecycle, h *Host) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			h.group.Start()
+			go h.serveAnnouncements()
+			h.log.Info("entry host started", "host", h.settings.Host, "failureDomain", h.settings.FailureDomain,
+				"packets", h.settings.PacketAddress)
+			return nil
+		},
+		OnStop: h.stop,
+	})
+}
+
+func (h *Host) serveAnnouncements() {
+	if err := h.server.Serve(h.sockets.announce); !errors.Is(err, http.ErrServerClosed) {
+		h.log.Error("announcements are no longer served", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/stop.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"cassiawood/internal/ring"
+	"cassiawood/internal/settings"
+)
+
+// stopPoll is how often a stopping host looks whether it may end.
+const stopPoll = 100 * time.Millisecond
+
+// errHandoverIncomplete ends a stop that ran out of time.
+var errHandoverIncomplete = errors.New("records were not handed over in time")
+
+// stop is the graceful stop (docs/design.md, 5.2, rule 10): leave the directory,
+// hand over the records, go on passing packets until the fabric sends no more, end.
+func (h *Host) stop(ctx context.Context) error {
+	h.log.Info("stopping: handing over records")
+	_ = h.server.Shutdown(ctx)
+	_, _ = h.rings.engine.Put(engineStop{})
+	err := h.awaitHandover(ctx)
+	h.group.BeginStop()
+	h.cancel()
+	h.peers.close()
+	h.rings.close()
+	return errors.Join(err, h.group.Stop(ctx))
+}
+
+func (h *Host) awaitHandover(ctx context.Context) error {
+	quiet := settings.Seconds(h.settings.DrainSeconds)
+	for {
+		status, err := h.Status()
+		if err != nil {
+			return err
+		}
+		if status.HandoverComplete && status.LastPacket >= min(quiet, time.Second) {
+			h.log.Info("records handed over", "records", status.Records, "flowsLost", status.FlowsLost)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %d records here, handover complete: %t", errHandoverIncomplete, status.Records,
+				status.HandoverComplete)
+		}
+		sleep(ctx, stopPoll)
+	}
+}
+
+// Status asks the engine duty for its status.
+func (h *Host) Status() (Status, error) {
+	result := ring.New[Status]("status", 1, ring.DropNewest)
+	if _, err := h.rings.engine.Put(engineStatus{result: result}); err != nil {
+		return Status{}, fmt.Errorf("ask the engine: %w", err)
+	}
+	return result.Get()
+}
+
+// Lost says what an immediate end of the process loses.
+func (h *Host) Lost() string {
+	status, err := h.Status()
+	if err != nil {
+		return "nothing: the records were handed over"
+	}
+	if status.HandoverComplete {
+		return "nothing: the records were handed over"
+	}
+	return fmt.Sprintf("up to %d records whose copies were not confirmed", status.Records)
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,148 @@
+// Package process holds what the daemons' main functions share: flags, logging
+// and the run of an fx application until a signal.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"cassiawood/internal/settings"
+	"cassiawood/internal/wire"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitBadUsage = 2
+	ExitAborted  = 3 // a second signal ended the stop
+)
+
+// startTimeout bounds opening sockets and reading the data folder.
+const startTimeout = 30 * time.Second
+
+// lostTimeout bounds the question what a second signal loses.
+const lostTimeout = 500 * time.Millisecond
+
+// Flags are the flags of a daemon.
+type Flags struct {
+	SettingsFile string
+	CheckOnly    bool
+}
+
+// ParseFlags parses the command line of a daemon. It returns flag.ErrHelp for -h.
+func ParseFlags(name, purpose string, args []string, output io.Writer) (Flags, error) {
+	var f Flags
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.SetOutput(output)
+	set.StringVar(&f.SettingsFile, "settings", "", "settings `file`, JSON with comments")
+	set.BoolVar(&f.CheckOnly, "check", false, "check the settings and exit")
+	set.Usage = func() {
+		_, _ = fmt.Fprintf(output, "%s: %s\n\nUsage: %s -settings FILE [-check]\n\n", name, purpose, name)
+		set.PrintDefaults()
+		_, _ = fmt.Fprintf(output, "\nExit codes: 0 done, 1 failed, 2 bad usage or settings, 3 stop ended by a second signal.\n")
+	}
+	if err := set.Parse(args); err != nil {
+		return f, err
+	}
+	if f.SettingsFile == "" || set.NArg() > 0 {
+		set.Usage()
+		return f, errors.New("a settings file is needed, and nothing else")
+	}
+	return f, nil
+}
+
+// NewLogger returns a logger for checked log settings.
+func NewLogger(s settings.Log, w io.Writer) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(s.Level))
+	options := &slog.HandlerOptions{Level: level}
+	if s.Format == "text" {
+		return slog.New(slog.NewTextHandler(w, options))
+	}
+	return slog.New(slog.NewJSONHandler(w, options))
+}
+
+// NewTLS returns the configuration for sessions between processes, or nil when
+// the settings name no files, which is allowed on loopback only.
+func NewTLS(s settings.TLS) (*tls.Config, error) {
+	if s == (settings.TLS{}) {
+		return nil, nil
+	}
+	credentials, err := wire.NewCredentials(s.CertificateFile, s.KeyFile, s.AuthorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return credentials.Mutual(), nil
+}
+
+// Run starts the application, waits for a signal or a failed duty, and stops it
+// within limit. A second signal ends the process at once; lost then tells what
+// was not finished.
+func Run(log *slog.Logger, limit time.Duration, lost func() string, options ...fx.Option) int {
+	app := fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))...)
+	if err := app.Err(); err != nil {
+		log.Error("start failed", "error", err)
+		return ExitFailed
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	startContext, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(startContext); err != nil {
+		log.Error("start failed", "error", err)
+		return ExitFailed
+	}
+	code := ExitDone
+	select {
+	case s := <-signals:
+		log.Info("signal received, stopping", "signal", s.String(), "limit", limit)
+	case s := <-app.Wait():
+		code = s.ExitCode
+	}
+	return stop(log, app, limit, code, signals, lost)
+}
+
+func stop(log *slog.Logger, app *fx.App, limit time.Duration, code int, signals <-chan os.Signal, lost func() string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- app.Stop(ctx) }()
+	select {
+	case err := <-stopped:
+		if err != nil {
+			log.Error("stop was not graceful", "error", err)
+			return max(code, ExitFailed)
+		}
+		log.Info("stopped", "exitCode", code)
+		return code
+	case s := <-signals:
+		log.Error("second signal, ending at once", "signal", s.String(), "lost", ask(lost))
+		return ExitAborted
+	}
+}
+
+// ask gives a duty that may be hung a short time to say what is lost.
+func ask(lost func() string) string {
+	answer := make(chan string, 1)
+	go func() { answer <- lost() }()
+	select {
+	case text := <-answer:
+		return text
+	case <-time.After(lostTimeout):
+		return "unknown: the duty that knows does not answer"
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -60,7 +60,9 @@
 		team.check(fmt.Sprintf("teams[%d]", i), report)
 	}
 	s.TLS.check("tls", links, report)
-	s.OperatorTLS.check("operatorTls", []netip.AddrPort{s.OperatorAddress}, report)
+	if s.OperatorTLS.CertificateFile == "" || s.OperatorTLS.KeyFile == "" {
+		report("operatorTls", "needs certificateFile and keyFile")
+	}
 	s.Log.check(report)
 }
 
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -49,6 +49,7 @@
 	Name        string `json:"name"`
 	TokenSHA256 string `json:"tokenSha256"` // hexadecimal
 	Expires     string `json:"expires"`     // RFC 3339; empty means never
+	Site        bool   `json:"site"`        // may also drain hosts and declare failure domains
 }
 
 // ControlHost holds the settings of cassiawood-control.
@@ -82,3 +83,14 @@
 	s := ControlHost{Log: Log{Level: "info", Format: "json"}}
 	return s, load(file, &s)
 }
+
+// Self returns the member that this control host is. The settings are checked,
+// so there is one.
+func (s ControlHost) Self() ControlMember {
+	for _, m := range s.Members {
+		if m.ID == s.ID {
+			return m
+		}
+	}
+	return ControlMember{}
+}
--- /dev/null
+++ b/internal/wire/log.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// LogMessageToProto converts a message between control hosts.
+func LogMessageToProto(m changelog.Message) *wirepb.LogMessage {
+	p := &wirepb.LogMessage{
+		Kind: uint32(m.Kind), From: m.From, To: m.To, Term: m.Term, LogIndex: m.Index, LogTerm: m.LogTerm,
+		Commit: m.Commit, Reject: m.Reject, RejectHint: m.Hint, Context: m.Context,
+	}
+	for _, e := range m.Entries {
+		p.Entries = append(p.Entries, &wirepb.Entry{Index: e.Index, Term: e.Term, AtNs: int64(e.At), Command: e.Data})
+	}
+	if s := m.Snapshot; s != nil {
+		p.Snapshot = &wirepb.Snapshot{Index: s.Index, Term: s.Term, AtNs: int64(s.At), State: s.State}
+	}
+	return p
+}
+
+// LogMessageFromProto converts a message of another control host.
+func LogMessageFromProto(p *wirepb.LogMessage) (changelog.Message, error) {
+	kind := changelog.Kind(p.GetKind())
+	if p.GetKind() == 0 || p.GetKind() > uint32(changelog.KindLearnerReply) {
+		return changelog.Message{}, fmt.Errorf("log message of unknown kind %d", p.GetKind())
+	}
+	m := changelog.Message{
+		Kind: kind, From: p.GetFrom(), To: p.GetTo(), Term: p.GetTerm(), Index: p.GetLogIndex(), LogTerm: p.GetLogTerm(),
+		Commit: p.GetCommit(), Reject: p.GetReject(), Hint: p.GetRejectHint(), Context: p.GetContext(),
+	}
+	for _, e := range p.GetEntries() {
+		m.Entries = append(m.Entries, changelog.Entry{
+			Index: e.GetIndex(), Term: e.GetTerm(), At: time.Duration(e.GetAtNs()), Data: e.GetCommand(),
+		})
+	}
+	if s := p.GetSnapshot(); s != nil {
+		m.Snapshot = &changelog.Snapshot{
+			Index: s.GetIndex(), Term: s.GetTerm(), At: time.Duration(s.GetAtNs()), State: s.GetState(),
+		}
+	}
+	return m, nil
+}
