Serve the status page and metrics; read tokens from the file of keys

Cause: operators had no view of a running site, and the control host's settings repeated what 'cassiawood keys' writes. Change: telemetry servers on both processes, the status page from the directory, tokensFile in place of a list of teams, decided changes in the audit trail with author, team, section and hash of the text. Result: builds, unit tests pass; the page was not yet seen in a browser.

--- a/cmd/cassiawood-control/main.go
+++ b/cmd/cassiawood-control/main.go
@@ -38,6 +38,9 @@
 		return process.ExitBadUsage
 	}
 	config, err := process.NewTLS(s.TLS)
+	if err == nil {
+		_, err = control.LoadTokens(s.TokensFile)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return process.ExitBadUsage
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -10,6 +10,7 @@
 	"cassiawood/internal/directory"
 	"cassiawood/internal/member"
 	"cassiawood/internal/ring"
+	"cassiawood/internal/telemetry"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
 )
@@ -94,8 +95,9 @@
 	window    []*wirepb.Entry
 	compacted uint64 // index of the last snapshot
 	followers map[*ring.Ring[*wirepb.Envelope]]*follower
-	confirmed map[string]confirmation // by host
-	waiting   map[string][]waiter     // by change ID
+	confirmed map[string]confirmation  // by host
+	waiting   map[string][]waiter      // by change ID
+	changes   []telemetry.ChangeStatus // newest first, for the status page
 	now       time.Duration
 }
 
@@ -143,9 +145,13 @@
 		if err != nil {
 			return fmt.Errorf("apply: %w", err)
 		}
+		decided := decidedChange(d.state, decoded.Command)
 		outcome := d.state.Apply(decoded)
 		d.window = append(d.window, wire.EntryToProto(entry.Index, entry.At, entry.Data))
-		d.record(decoded, outcome)
+		if record, ok := auditRecord(decoded, outcome, decided); ok {
+			d.record(record)
+			d.noteChange(record)
+		}
 		d.step(member.Committed{Command: decoded.Command, Outcome: outcome})
 	}
 	if excess := len(d.window) - windowEntries; excess > 0 {
--- a/internal/control/audit.go
+++ b/internal/control/audit.go
@@ -10,20 +10,37 @@
 	"cassiawood/internal/directory"
 )
 
+// decidedChange returns the change that an entry is about to decide, or nil.
+func decidedChange(state *directory.State, command directory.Command) *directory.ChangePrepared {
+	decided, ok := command.(directory.ChangeDecided)
+	if !ok {
+		return nil
+	}
+	for _, pending := range state.PendingChanges() {
+		if pending.ChangeID == decided.ChangeID {
+			return &pending.ChangePrepared
+		}
+	}
+	return nil
+}
+
 // auditRecord returns the record of an entry, or false for entries that are
-// neither a change by a person nor one of the set of endpoints or hosts.
-func auditRecord(e directory.Entry, outcome directory.Outcome) (audit.Record, bool) {
+// neither a change by a person nor one of the set of endpoints or hosts. decided
+// is the change that the entry decides, if it decides one.
+func auditRecord(e directory.Entry, outcome directory.Outcome, decided *directory.ChangePrepared) (audit.Record, bool) {
 	r := audit.Record{Index: e.Index, At: time.Unix(0, int64(e.At)).UTC(), Author: "system", Outcome: "accepted"}
 	if !outcome.Applied {
 		r.Outcome, r.Reason = "refused", outcome.Reason
 	}
 	switch c := e.Command.(type) {
 	case directory.ChangePrepared:
-		sum := sha256.Sum256([]byte(c.Text))
-		r.Action, r.Author, r.Team, r.Section = "prepare change", c.Author, c.Team, c.Section
-		r.ChangeID, r.BaseVersion, r.TextSHA256 = c.ChangeID, c.BaseVersion, hex.EncodeToString(sum[:])
+		r.Action = "prepare change"
+		describeChange(&r, &c)
 	case directory.ChangeDecided:
 		r.Action, r.ChangeID = "decide change", c.ChangeID
+		if decided != nil {
+			describeChange(&r, decided)
+		}
 		if !c.Accepted {
 			r.Outcome, r.Reason = "refused", c.Reason
 		}
@@ -47,3 +64,9 @@
 	}
 	return r, true
 }
+
+func describeChange(r *audit.Record, c *directory.ChangePrepared) {
+	sum := sha256.Sum256([]byte(c.Text))
+	r.Author, r.Team, r.Section = c.Author, c.Team, c.Section
+	r.ChangeID, r.BaseVersion, r.TextSHA256 = c.ChangeID, c.BaseVersion, hex.EncodeToString(sum[:])
+}
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -89,6 +89,11 @@
 		return nil, fmt.Errorf("linkAddress: %w", err)
 	}
 	h.addDuties(node, state, config, clock)
+	pages, err := telemetry.NewServer(s.TelemetryAddress.String(), registry, operatorBackend{apply: h.apply}.Status)
+	if err != nil {
+		return nil, err
+	}
+	h.group.Add(pages.Duty())
 	return h, h.addOperators()
 }
 
@@ -99,13 +104,9 @@
 	if err != nil {
 		return fmt.Errorf("operatorTls: %w", err)
 	}
-	var tokens []operator.Token
-	for _, team := range s.Teams {
-		token := operator.Token{Team: team.Name, Site: team.Site}
-		// The settings are checked, so neither can fail.
-		_, _ = hex.Decode(token.Hash[:], []byte(team.TokenSHA256))
-		token.Expires, _ = time.Parse(time.RFC3339, team.Expires)
-		tokens = append(tokens, token)
+	tokens, err := LoadTokens(s.TokensFile)
+	if err != nil {
+		return err
 	}
 	server, err := operator.NewServer(operator.ServerOptions{
 		Address: s.OperatorAddress.String(), Certificate: certificate, Guard: operator.NewGuard(tokens, time.Now),
@@ -120,6 +121,29 @@
 	return nil
 }
 
+// LoadTokens reads the tokens file that "cassiawood keys" makes, and reports all
+// tokens that are wrong together.
+func LoadTokens(file string) ([]operator.Token, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("tokensFile: %w", err)
+	}
+	var list []operator.TokenSetting
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, fmt.Errorf("tokensFile %s: %w", file, err)
+	}
+	var tokens []operator.Token
+	var findings []error
+	for i, setting := range list {
+		token, err := setting.Token()
+		if err != nil {
+			findings = append(findings, fmt.Errorf("tokensFile %s, token %d: %w", file, i+1, err))
+		}
+		tokens = append(tokens, token)
+	}
+	return tokens, errors.Join(findings...)
+}
+
 // newClock returns a clock in time since the Unix epoch that does not jump when
 // the wall clock is set.
 func newClock() func() time.Duration {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"cassiawood/internal/announce"
+	"cassiawood/internal/audit"
 	"cassiawood/internal/directory"
 	"cassiawood/internal/member"
 	"cassiawood/internal/ring"
@@ -122,13 +123,9 @@
 	return d.logInbox.Offer(logPropose{data: data})
 }
 
-// record puts the outcome of an entry that operators care about into the audit trail.
-func (d *applyDuty) record(e directory.Entry, outcome directory.Outcome) {
-	record, ok := auditRecord(e, outcome)
-	if !ok {
-		return
-	}
+// record hands a record to the audit duty.
+func (d *applyDuty) record(record audit.Record) {
 	if _, err := d.audit.Put(record); err != nil {
-		d.log.Warn("audit record not kept", "index", e.Index, "error", err)
+		d.log.Warn("audit record not kept", "index", record.Index, "error", err)
 	}
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -112,7 +112,7 @@
 
 func newHost(s settings.EntryHost, log *slog.Logger, config *tls.Config, registry metrics.Registry, r *rings,
 	k *sockets, shutdown fx.Shutdowner,
-) *Host {
+) (*Host, error) {
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	self := &wirepb.Host{
@@ -132,8 +132,13 @@
 		}),
 	}
 	h.addDuties(engine, config, clock)
+	pages, err := telemetry.NewServer(s.TelemetryAddress.String(), registry, nil)
+	if err != nil {
+		return nil, err
+	}
+	h.group.Add(pages.Duty())
 	h.server = &http.Server{Handler: announce.Handler(submitter{control: r.control}), ReadTimeout: handlerLimit}
-	return h
+	return h, nil
 }
 
 func (h *Host) addDuties(engine *engineDuty, config *tls.Config, clock func() time.Duration) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,10 +1,8 @@
 package settings
 
 import (
-	"encoding/hex"
 	"fmt"
 	"net/netip"
-	"time"
 )
 
 const (
@@ -13,7 +11,6 @@
 	maxShutdownSeconds  = 600
 	minControlHosts     = 1
 	maxControlHosts     = 7
-	tokenHashBytes      = 32
 	maxNameBytes        = 64
 	maxFailureDomains   = 32 // the hand-off option holds the set of domains in 32 bits
 	missing             = "is missing"
@@ -56,8 +53,8 @@
 	if len(s.FailureDomains) == 0 || len(s.FailureDomains) > maxFailureDomains {
 		report("failureDomains", fmt.Sprintf("must list 1 to %d failure domains", maxFailureDomains))
 	}
-	for i, team := range s.Teams {
-		team.check(fmt.Sprintf("teams[%d]", i), report)
+	if s.TokensFile == "" {
+		report("tokensFile", missing)
 	}
 	s.TLS.check("tls", links, report)
 	if s.OperatorTLS.CertificateFile == "" || s.OperatorTLS.KeyFile == "" {
@@ -85,17 +82,6 @@
 	return links
 }
 
-func (t Team) check(path string, report func(path, problem string)) {
-	checkName(path+".name", t.Name, report)
-	hash, err := hex.DecodeString(t.TokenSHA256)
-	if err != nil || len(hash) != tokenHashBytes {
-		report(path+".tokenSha256", "must be a SHA-256 hash of 64 hexadecimal digits")
-	}
-	if _, err := time.Parse(time.RFC3339, t.Expires); t.Expires != "" && err != nil {
-		report(path+".expires", `must be a time such as "2027-01-31T00:00:00Z"`)
-	}
-}
-
 func (t TLS) check(path string, addresses []netip.AddrPort, report func(path, problem string)) {
 	if t == (TLS{}) {
 		for _, a := range addresses {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -44,14 +44,6 @@
 	OperatorURL   string         `json:"operatorUrl"`
 }
 
-// Team may edit the sections that it owns.
-type Team struct {
-	Name        string `json:"name"`
-	TokenSHA256 string `json:"tokenSha256"` // hexadecimal
-	Expires     string `json:"expires"`     // RFC 3339; empty means never
-	Site        bool   `json:"site"`        // may also drain hosts and declare failure domains
-}
-
 // ControlHost holds the settings of cassiawood-control.
 type ControlHost struct {
 	ID               uint64          `json:"id"`
@@ -61,7 +53,7 @@
 	OperatorAddress  netip.AddrPort  `json:"operatorAddress"`
 	OperatorTLS      TLS             `json:"operatorTls"`
 	TelemetryAddress netip.AddrPort  `json:"telemetryAddress"`
-	Teams            []Team          `json:"teams"`
+	TokensFile       string          `json:"tokensFile"` // made by "cassiawood keys"
 	TLS              TLS             `json:"tls"`
 	Log              Log             `json:"log"`
 	FailureDomains   []string        `json:"failureDomains"`
