Test saves over three control hosts with virtual time

Cause: the save path joined parser, log, leases and followers without a test. Change: a harness that steps the duties of three control hosts and an entry host in each of three failure domains; saves under a silent failure domain, a race of equal versions, a resend after a change of leader, a leader that is cut off and a control host that returns. With the confirmation check removed, 'refuses a change that a failure domain does not confirm' fails; with 'refused' in place of 'unknown' for an undecided save, 'answers unknown' fails.

--- /dev/null
+++ b/internal/control/harness_test.go
@@ -0,0 +1,227 @@
+package control
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/audit"
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/member"
+	"cassiawood/internal/operator"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire/wirepb"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+var domains = []string{"a", "b", "c"}
+
+// memoryStore is a disk that never fails.
+type memoryStore struct{}
+
+func (memoryStore) Save(changelog.Ready) error { return nil }
+func (memoryStore) Close() error               { return nil }
+
+// controlHost is a control host whose duties are stepped by the test.
+type controlHost struct {
+	id      uint64
+	log     *logDuty
+	storage *storageDuty
+	apply   *applyDuty
+	inbox   *ring.Ring[logEvent]
+	stored  *ring.Ring[changelog.Ready]
+	applied *ring.Ring[applyEvent]
+	audit   *ring.Ring[audit.Record]
+	cut     bool // no message of the log reaches or leaves it
+}
+
+// site is three control hosts and one entry host in each failure domain, with
+// virtual time.
+type site struct {
+	now     time.Duration
+	hosts   []*controlHost
+	silent  map[string]bool // failure domains whose entry host does not answer
+	entries map[string]*entryHost
+}
+
+// entryHost follows the leader and acknowledges what it gets.
+type entryHost struct {
+	out     *ring.Ring[*wirepb.Envelope]
+	leader  *controlHost
+	applied uint64
+}
+
+func newSite() *site {
+	s := &site{now: time.Hour, silent: map[string]bool{}, entries: map[string]*entryHost{}}
+	for id := uint64(1); id <= 3; id++ {
+		s.hosts = append(s.hosts, s.newHost(id))
+	}
+	for _, d := range domains {
+		s.entries[d] = &entryHost{}
+	}
+	s.run(2 * time.Second)
+	return s
+}
+
+func (s *site) newHost(id uint64) *controlHost {
+	node, err := changelog.New(changelog.Config{ID: id, Members: []uint64{1, 2, 3}, Seed: id},
+		changelog.HardState{}, changelog.Snapshot{}, nil)
+	Expect(err).NotTo(HaveOccurred())
+	log := slog.New(slog.DiscardHandler)
+	h := &controlHost{
+		id: id, inbox: ring.New[logEvent]("log", 4096, ring.Block), stored: ring.New[changelog.Ready]("storage", 1, ring.Block),
+		applied: ring.New[applyEvent]("apply", 4096, ring.Block), audit: ring.New[audit.Record]("audit", 4096, ring.Block),
+	}
+	links := map[uint64]*ring.Ring[changelog.Message]{}
+	for other := uint64(1); other <= 3; other++ {
+		if other != id {
+			links[other] = ring.New[changelog.Message]("link", 1024, ring.DropOldest)
+		}
+	}
+	state := directory.New()
+	h.log = &logDuty{log: log, node: node, storage: h.stored, apply: h.applied, members: links}
+	h.storage = &storageDuty{store: memoryStore{}, log: h.inbox}
+	h.apply = &applyDuty{
+		log: log, logInbox: h.inbox, audit: h.audit, clock: func() time.Duration { return s.now },
+		operators: map[uint64]string{1: "https://1", 2: "https://2", 3: "https://3"}, domains: domains,
+		state: state, leases: member.New(state), replies: map[uint64]replyTo{},
+		followers: map[*ring.Ring[*wirepb.Envelope]]*follower{}, confirmed: map[string]confirmation{},
+		waiting: map[string][]waiter{},
+	}
+	return h
+}
+
+// run lets time pass in steps of the clock duty.
+func (s *site) run(d time.Duration) {
+	GinkgoHelper()
+	for end := s.now + d; s.now < end; {
+		s.now += tickInterval
+		for _, h := range s.hosts {
+			h.inbox.Offer(logTick{now: s.now})
+			if s.now%(applyTickEvery*tickInterval) == 0 {
+				h.applied.Offer(applyTick{now: s.now})
+			}
+		}
+		if s.now%(500*time.Millisecond) == 0 {
+			s.reportEntries()
+		}
+		s.settle()
+	}
+}
+
+// settle steps the duties until none has anything to do.
+func (s *site) settle() {
+	GinkgoHelper()
+	for busy := true; busy; {
+		busy = false
+		for _, h := range s.hosts {
+			busy = s.step(h) || busy
+		}
+		for domain, e := range s.entries {
+			busy = s.receive(domain, e) || busy
+		}
+	}
+}
+
+func (s *site) step(h *controlHost) bool {
+	GinkgoHelper()
+	busy := false
+	for h.inbox.Depth()+h.stored.Depth()+h.applied.Depth() > 0 {
+		busy = true
+		stepRing(h.inbox, h.log.handle)
+		stepRing(h.stored, h.storage.handle)
+		stepRing(h.applied, h.apply.handle)
+	}
+	for to, link := range h.log.members {
+		for link.Depth() > 0 {
+			m, _ := link.Get()
+			if target := s.hosts[to-1]; !h.cut && !target.cut {
+				target.inbox.Offer(logMessage{message: m})
+				busy = true
+			}
+		}
+	}
+	return busy
+}
+
+func stepRing[T any](r *ring.Ring[T], handle func(T) error) {
+	GinkgoHelper()
+	for range r.Depth() {
+		v, err := r.Get()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(handle(v)).To(Succeed())
+	}
+}
+
+func (s *site) leader() *controlHost {
+	for _, h := range s.hosts {
+		if !h.cut && h.apply.leases.Leading() {
+			return h
+		}
+	}
+	return nil
+}
+
+// reportEntries lets each entry host join the leader and acknowledge.
+func (s *site) reportEntries() {
+	leader := s.leader()
+	if leader == nil {
+		return
+	}
+	for domain, e := range s.entries {
+		if s.silent[domain] {
+			continue
+		}
+		if e.leader != leader {
+			e.leader, e.out = leader, ring.New[*wirepb.Envelope]("out", 4096, ring.DropNewest)
+			leader.applied.Offer(applyFollow{from: e.applied + 1, host: "entry-" + domain, domain: domain, incarnation: 1, out: e.out})
+			hello := &wirepb.Host{Name: "entry-" + domain, Domain: domain, Incarnation: 1, PacketAddr: "10.0.0.1:6081", PeerAddr: "10.0.0.1:7000"}
+			leader.applied.Offer(applyPropose{request: &wirepb.ProposeRequest{Body: &wirepb.ProposeRequest_Host{Host: hello}}, out: e.out})
+		}
+		s.acknowledge(domain, e)
+	}
+}
+
+func (s *site) acknowledge(domain string, e *entryHost) {
+	e.leader.applied.Offer(applyAcknowledged{
+		host: "entry-" + domain, incarnation: 1, index: e.applied, sentNs: int64(s.now), out: e.out,
+	})
+}
+
+func (s *site) receive(domain string, e *entryHost) bool {
+	if e.out == nil || s.silent[domain] || e.leader.cut {
+		return false
+	}
+	before := e.applied
+	for e.out.Depth() > 0 {
+		envelope, _ := e.out.Get()
+		for _, entry := range envelope.GetEntryBatch().GetEntries() {
+			e.applied = max(e.applied, entry.GetIndex())
+		}
+		e.applied = max(e.applied, envelope.GetSnapshot().GetIndex())
+	}
+	if e.applied > before {
+		s.acknowledge(domain, e)
+	}
+	return e.applied > before
+}
+
+// save starts a save and returns the ring that gets its result.
+func (s *site) save(h *controlHost, change operator.Change) *ring.Ring[saved] {
+	result := ring.New[saved]("save", 1, ring.DropNewest)
+	h.applied.Offer(applyQuery{run: func(d *applyDuty) {
+		if err := d.save(change, result); err != nil {
+			result.Offer(saved{err: err})
+		}
+	}})
+	s.settle()
+	return result
+}
--- /dev/null
+++ b/internal/control/save_test.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/operator"
+	"cassiawood/internal/ring"
+)
+
+const orderDesk = `The service "order-desk" is reached at 10.20.0.1, port 443.
+Its backend servers announce themselves as "order-desk".
+Connections last a long time; keep them unbroken before balancing them evenly.
+Each backend server takes 2 requests at once.
+Wait at most 5 seconds for a free place, then refuse.
+`
+
+func change(id, author string, base uint64) operator.Change {
+	return operator.Change{ID: id, Team: "shop", Author: author, Section: "Orders", Base: base, Text: orderDesk}
+}
+
+func outcome(result *ring.Ring[saved]) saved {
+	GinkgoHelper()
+	Expect(result.Depth()).To(Equal(1), "the save has no answer")
+	s, _ := result.Get()
+	return s
+}
+
+var _ = Describe("Save", func() {
+	var s *site
+	BeforeEach(func() { s = newSite() })
+
+	inForce := func() []string {
+		var found []string
+		for _, h := range s.hosts {
+			if _, ok := h.apply.state.Service("order-desk"); ok {
+				found = append(found, h.apply.operators[h.id])
+			}
+		}
+		return found
+	}
+
+	It("answers once every failure domain has the change", func() {
+		result := s.save(s.leader(), change("c1", "ann", 0))
+		s.run(time.Second)
+		got := outcome(result)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.answer.InForce).To(Equal(domains))
+		Expect(inForce()).To(HaveLen(3))
+	})
+
+	// Guards against a change that is in force in some failure domains and not in others.
+	It("refuses a change that a failure domain does not confirm, and names it", func() {
+		s.silent["b"] = true
+		result := s.save(s.leader(), change("c1", "ann", 0))
+		s.run(4 * time.Second)
+		Expect(result.Depth()).To(BeZero())
+		Expect(inForce()).To(BeEmpty())
+		s.run(2 * time.Second)
+		var refused *operator.Refused
+		Expect(outcome(result).err).To(BeAssignableToTypeOf(refused))
+		s.silent["b"] = false
+		s.run(5 * time.Second)
+		Expect(inForce()).To(BeEmpty())
+	})
+
+	// Guards against two operators with the same version who are both told that they won.
+	It("lets exactly one of two equal versions win and tells the other who did", func() {
+		leader := s.leader()
+		first, second := s.save(leader, change("c1", "ann", 0)), s.save(leader, change("c2", "bob", 0))
+		s.run(time.Second)
+		Expect(outcome(first).err).NotTo(HaveOccurred())
+		lost := outcome(second).err
+		Expect(lost).To(BeAssignableToTypeOf(&operator.Race{}))
+		Expect(lost).To(HaveField("Author", "ann"))
+		Expect(lost).To(HaveField("Text", orderDesk))
+	})
+
+	// Guards against a resend after a lost answer that saves a second time, also at a new leader.
+	It("gives a resend the first answer, also after a change of leader", func() {
+		old := s.leader()
+		first := s.save(old, change("c1", "ann", 0))
+		s.run(time.Second)
+		version := outcome(first).answer.Version
+		old.cut = true
+		s.run(2 * time.Second)
+		Expect(s.leader()).NotTo(Equal(old))
+		again := s.save(s.leader(), change("c1", "ann", 0))
+		s.run(time.Second)
+		got := outcome(again)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.answer.Version).To(Equal(version))
+	})
+
+	// Guards against a leader that is cut off and still accepts, or says "refused" of
+	// what its successor may put in force.
+	It("answers 'unknown' when a leader is cut off with a save, and refuses new ones", func() {
+		old := s.leader()
+		old.cut = true
+		pending := s.save(old, change("c1", "ann", 0))
+		s.run(answerLimit + time.Second)
+		Expect(outcome(pending).err).To(BeAssignableToTypeOf(&operator.Unanswered{}))
+		late := s.save(old, change("c2", "ann", 0))
+		Expect(outcome(late).err).To(BeAssignableToTypeOf(&operator.NoQuorum{}))
+	})
+
+	// Guards against a returning control host that brings back what was never accepted.
+	It("keeps what was accepted when a control host returns after a long cut", func() {
+		old := s.leader()
+		old.cut = true
+		s.save(old, change("never", "eve", 0))
+		s.run(3 * time.Second)
+		result := s.save(s.leader(), change("c1", "ann", 0))
+		s.run(time.Second)
+		Expect(outcome(result).err).NotTo(HaveOccurred())
+		leader := s.leader()
+		old.cut = false
+		s.run(5 * time.Second)
+		Expect(s.leader()).To(Equal(leader))
+		for _, h := range s.hosts {
+			section, ok := h.apply.state.Section("Orders")
+			Expect(ok).To(BeTrue())
+			Expect(section.ChangeID).To(Equal("c1"))
+		}
+	})
+
+	It("names the leader to operators that ask another control host", func() {
+		for _, h := range s.hosts {
+			if h != s.leader() {
+				Expect(outcome(s.save(h, change("c1", "ann", 0))).err).To(Equal(&operator.NotLeader{Leader: s.leader().apply.operators[s.leader().id]}))
+			}
+		}
+	})
+})
