--- a/cmd/cassiawood/commands.go
+++ b/cmd/cassiawood/commands.go
@@ -35,7 +35,8 @@
 			name: "save", operands: []string{"FILE"}, prepare: prepareSave,
 			summary: "put the changed sections of a document in force",
 			details: "Sends the sections that differ from those in force, one after the other, and says where each is\n" +
-				"in force. Then it writes the new versions into the headings of FILE.",
+				"in force. Then it writes the new versions into the headings of FILE. A section that FILE does\n" +
+				"not have stays as it is.",
 		},
 		{
 			name: "show", prepare: prepareShow,
--- a/cmd/cassiawood/look.go
+++ b/cmd/cassiawood/look.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 
 	"cassiawood/internal/document"
 	"cassiawood/internal/operator"
@@ -181,12 +182,25 @@
 	}
 }
 
+// printable replaces characters that could act on the terminal, since backend
+// servers choose some of the names.
+func printable(r rune) rune {
+	if unicode.IsPrint(r) {
+		return r
+	}
+	return '?'
+}
+
 // table aligns the columns of rows.
 func table(rows [][]string) string {
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
-		fmt.Fprintln(w, strings.Join(row, "\t"))
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = strings.Map(printable, cell)
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
 	}
 	w.Flush()
 	return b.String()
--- a/cmd/cassiawood/main_test.go
+++ b/cmd/cassiawood/main_test.go
@@ -58,7 +58,7 @@
 
 func (f *fake) BackendServers(context.Context) ([]operator.BackendServer, error) {
 	return []operator.BackendServer{
-		{Instance: "a", Service: "order-desk", State: "leaving", Connections: 12},
+		{Instance: "a\x1b[2J", Service: "order-desk", State: "leaving", Connections: 12},
 		{Instance: "b", Service: "sheet-print", State: "ready", Slots: 2, InUse: 1, Connections: 1},
 		{Instance: "c", Service: "sheet-print", State: "ready", Suspected: true, Connections: 1},
 	}, nil
@@ -126,6 +126,7 @@
 		Entry("history of the team's only section", 0, "ann", "history"),
 		Entry("services", 0, "balance first, 3 of 4 backend servers ready, 1 connection\n", "services"),
 		Entry("a leaving backend server", 0, "leaving, 12 connections remain", "backends"),
+		Entry("a name that acts on the terminal", 0, "a?[2J", "backends"),
 		Entry("a ready backend server", 0, "ready, 1 of 2 places in use, 1 connection", "backends"),
 		Entry("a suspected backend server", 0, "takes no new connections, 1 connection remains", "backends"),
 		Entry("hosts", 0, "draining, 2 connections remain, 3 entries behind", "hosts"),
--- a/internal/document/align.go
+++ b/internal/document/align.go
@@ -26,6 +26,9 @@
 	bestCost := 0
 	for i := range sentenceForms {
 		f := &sentenceForms[i]
+		if !f.canResemble(len(tokens)) {
+			continue
+		}
 		pairs, cost := f.align(tokens)
 		if cost <= len(f.elements) && (best == nil || cost < bestCost) {
 			best, bestPairs, bestCost = f, pairs, cost
@@ -34,6 +37,16 @@
 	return best, bestPairs
 }
 
+// canResemble reports whether a sentence of that many words can be close to f.
+// It saves the alignment of most forms.
+func (f *form) canResemble(words int) bool {
+	longer := words - len(f.elements)
+	if longer > 0 && f.rule == ruleSources {
+		return true // a list has any length
+	}
+	return max(longer, -longer)*costMissing <= len(f.elements)
+}
+
 // align pairs the elements of f with tokens at the least cost.
 func (f *form) align(tokens []token) ([]pair, int) {
 	rows, columns := len(f.elements)+1, len(tokens)+1
@@ -83,7 +96,7 @@
 	}
 	if j > 0 {
 		c := costMissing
-		if i > 0 && f.elements[i-1].slot == slotValues && f.elements[i-1].accepts(tokens[j-1]) {
+		if i > 0 && f.elements[i-1].slot == slotSources && f.elements[i-1].accepts(tokens[j-1]) {
 			c = 0
 		}
 		consider(cost[i][j-1]+c, pair{-1, j - 1, c})
@@ -109,7 +122,7 @@
 	case slotName:
 		return costKind
 	default:
-		if t.quoted && strings.ContainsAny(t.text, "0123456789") {
+		if t.quoted && hasDigit(t.text) {
 			return costKind
 		}
 		return costMissing
@@ -179,8 +192,16 @@
 
 // difference describes pairs[from:to] with enough neighbours to find the place.
 func (f *form) difference(section string, tokens []token, pairs []pair, from, to int) Finding {
-	if to < len(pairs) && pairs[to].element >= 0 && f.elements[pairs[to].element].slot == slotValue {
-		to++
+	if to < len(pairs) && pairs[to].element >= 0 {
+		if next := f.elements[pairs[to].element].slot; next == slotNumber || next == slotAddress {
+			to++
+		}
+	}
+	if at, wrong := f.knownMistake(tokens, pairs[from:to]); wrong != nil {
+		return Finding{
+			Section: section, Line: at.line, Column: at.column, Words: at.text,
+			Problem: wrong.problem, Suggestion: wrong.suggestion,
+		}
 	}
 	words, wanted := f.written(tokens, pairs[from:to])
 	if words == "" || wanted == "" {
@@ -200,6 +221,23 @@
 	}
 }
 
+// knownMistake explains mistakes that the wanted words alone would not.
+func (f *form) knownMistake(tokens []token, pairs []pair) (token, *fault) {
+	for _, p := range pairs {
+		if p.token < 0 {
+			continue
+		}
+		t := tokens[p.token]
+		if wrong := addressWithPort(t.text); wrong != nil && !t.quoted {
+			return t, wrong
+		}
+		if p.element >= 0 && f.elements[p.element].slot == slotName && !t.quoted && len(pairs) == 1 {
+			return t, &fault{"needs quotation marks", "write \"" + t.text + "\" with a quotation mark at each end"}
+		}
+	}
+	return token{}, nil
+}
+
 // written returns the words of the text and the words that f wants there.
 func (f *form) written(tokens []token, pairs []pair) (string, string) {
 	var words, wanted []string
@@ -232,15 +270,18 @@
 		return e.words[0]
 	case slotName:
 		if t.text == "" {
-			return `"name"`
+			return `"NAME"`
 		}
 		return `"` + t.text + `"`
 	case slotUnit:
 		return "seconds"
 	default:
-		if !strings.ContainsAny(t.text, "0123456789") {
-			return "..."
+		if hasDigit(t.text) {
+			return t.text
+		}
+		if e.slot == slotNumber {
+			return "NUMBER"
 		}
-		return t.text
+		return "ADDRESS"
 	}
 }
--- a/internal/document/grammar.go
+++ b/internal/document/grammar.go
@@ -24,11 +24,12 @@
 type slot uint8
 
 const (
-	slotNone   slot = iota // a fixed word
-	slotName               // a quoted name
-	slotValue              // an address or a number
-	slotUnit               // seconds, milliseconds or minutes
-	slotValues             // one or more values
+	slotNone    slot = iota // a fixed word
+	slotName                // a quoted name
+	slotAddress             // an address
+	slotNumber              // a number
+	slotUnit                // seconds, milliseconds or minutes
+	slotSources             // one or more ranges of addresses
 )
 
 // element is one place in a sentence.
@@ -48,19 +49,19 @@
 // sentenceForms is the whole set. DOCUMENT.md lists it for operators.
 var sentenceForms = []form{
 	newForm(ruleHeading, "", `Section {name}, owned by team {name}`),
-	newForm(ruleHeading, "version", `Section {name}, owned by team {name}, version {value}`),
-	newForm(ruleService, "TCP", `The service {name} is reached at {value}, port {value}`),
-	newForm(ruleService, "TCP", `The service {name} is reached at {value}, port {value}, over TCP`),
-	newForm(ruleService, "UDP", `The service {name} is reached at {value}, port {value}, over UDP`),
+	newForm(ruleHeading, "version", `Section {name}, owned by team {name}, version {number}`),
+	newForm(ruleService, "TCP", `The service {name} is reached at {address}, port {number}`),
+	newForm(ruleService, "TCP", `The service {name} is reached at {address}, port {number}, over TCP`),
+	newForm(ruleService, "UDP", `The service {name} is reached at {address}, port {number}, over UDP`),
 	newForm(ruleAnnouncedAs, "", `Its backend servers announce themselves as {name}`),
 	newForm(rulePriority, "unbroken",
 		`Connections last a long time; keep them unbroken before balancing them evenly`),
 	newForm(rulePriority, "balance",
 		`Connections are short; balance them evenly before keeping them unbroken`),
-	newForm(ruleSlots, "", `Each backend server takes {value} requests|request at once`),
-	newForm(ruleWait, "wait", `Wait at most {value} {unit} for a free place, then refuse`),
+	newForm(ruleSlots, "", `Each backend server takes {number} requests|request at once`),
+	newForm(ruleWait, "wait", `Wait at most {number} {unit} for a free place, then refuse`),
 	newForm(ruleWait, "refuse", `Refuse at once when no place is free`),
-	newForm(ruleSources, "", `Its backend servers may announce themselves from {values}`),
+	newForm(ruleSources, "", `Its backend servers may announce themselves from {sources}`),
 	newForm(ruleToken, "", `Its backend servers show the announcement token with fingerprint {name}`),
 }
 
@@ -68,7 +69,7 @@
 var headingForms = sentenceForms[:2]
 
 var slotNames = map[string]slot{
-	"{name}": slotName, "{value}": slotValue, "{unit}": slotUnit, "{values}": slotValues,
+	"{name}": slotName, "{address}": slotAddress, "{number}": slotNumber, "{unit}": slotUnit, "{sources}": slotSources,
 }
 
 func newForm(r rule, option, text string) form {
@@ -105,10 +106,12 @@
 		return t.quoted
 	case slotUnit:
 		return !t.quoted && units[strings.ToLower(t.text)] > 0
-	case slotValue:
-		return !t.quoted && (strings.ContainsAny(t.text, "0123456789") || numberWords[strings.ToLower(t.text)] > 0)
-	case slotValues:
-		return !t.quoted && (strings.ContainsAny(t.text, "0123456789") || strings.EqualFold(t.text, "and"))
+	case slotAddress:
+		return !t.quoted && hasDigit(t.text)
+	case slotNumber:
+		return !t.quoted && (hasDigit(t.text) || numberWords[strings.ToLower(t.text)] > 0)
+	case slotSources:
+		return !t.quoted && (hasDigit(t.text) || strings.EqualFold(t.text, "and"))
 	default:
 		if t.quoted {
 			return false
@@ -122,6 +125,8 @@
 	}
 }
 
+func hasDigit(text string) bool { return strings.ContainsAny(text, "0123456789") }
+
 // match returns the values of tokens if they are exactly the sentence f.
 func (f form) match(tokens []token) ([][]token, bool) {
 	var values [][]token
@@ -132,7 +137,7 @@
 		}
 		from := at
 		at++
-		for e.slot == slotValues && at < len(tokens) && e.accepts(tokens[at]) {
+		for e.slot == slotSources && at < len(tokens) && e.accepts(tokens[at]) {
 			at++
 		}
 		if e.slot != slotNone {
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -111,7 +111,10 @@
 	for _, pair := range pairs {
 		cost += pair.cost
 	}
-	if cost <= len(f.elements)/2 {
+	reported := slices.ContainsFunc(p.findings, func(f Finding) bool {
+		return f.Line == tokens[0].line && f.Column == tokens[0].column
+	})
+	if cost <= len(f.elements)/2 && !reported {
 		p.add(tokens[0], written(tokens), "reads like a rule but stands in a note, so it has no effect",
 			"put a blank line before it to make it a rule, or use other words")
 	}
--- a/internal/document/scan.go
+++ b/internal/document/scan.go
@@ -68,15 +68,34 @@
 		if strings.TrimSpace(lines[i]) == "" {
 			continue
 		}
-		note := beginsNote(lines[i])
-		for ; i < len(lines) && strings.TrimSpace(lines[i]) != ""; i++ {
-			s.scanLine(lines[i], firstLine+i, note)
+		from := i
+		for i < len(lines) && strings.TrimSpace(lines[i]) != "" {
+			i++
 		}
-		paragraphs = append(paragraphs, paragraph{note: note, sentences: s.endParagraph()})
+		paragraphs = append(paragraphs, s.scanParagraph(lines[from:i], firstLine+from))
 	}
 	return paragraphs, s.findings
 }
 
+// scanParagraph returns the sentences of lines. A note is split twice, at full
+// stops and at line ends, so that a rule that stands in it is noticed whether or
+// not it runs over a line end and whatever stands before it.
+func (s *scanner) scanParagraph(lines []string, firstLine int) paragraph {
+	p := paragraph{note: beginsNote(lines[0])}
+	for i, line := range lines {
+		s.scanLine(line, firstLine+i, p.note)
+	}
+	p.sentences = s.endParagraph()
+	if p.note {
+		for i, line := range lines {
+			s.scanLine(line, firstLine+i, true)
+			s.endSentence(false)
+		}
+		p.sentences = append(p.sentences, s.endParagraph()...)
+	}
+	return p
+}
+
 func beginsNote(line string) bool {
 	words := strings.Fields(line)
 	return len(words) > 0 && strings.EqualFold(words[0], "Note:")
@@ -97,8 +116,7 @@
 	s.current = sentence{}
 }
 
-// scanLine adds the tokens of one line. In a note, every line ends a sentence,
-// so that a rule that follows a note without a blank line is noticed.
+// scanLine adds the tokens of one line.
 func (s *scanner) scanLine(line string, number int, note bool) {
 	for at := 0; at < len(line); {
 		r, size := utf8.DecodeRuneInString(line[at:])
@@ -114,9 +132,6 @@
 			at = s.scanWord(line, at, number)
 		}
 	}
-	if note {
-		s.endSentence(false)
-	}
 }
 
 func (s *scanner) scanQuoted(line string, at, size, number int, note bool) int {
--- a/internal/document/sections.go
+++ b/internal/document/sections.go
@@ -168,7 +168,7 @@
 	out := make([]Finding, len(findings))
 	for i, f := range findings {
 		for _, s := range sections {
-			if s.Heading == f.Section && s.FirstLine > 0 {
+			if s.Heading == f.Section && s.FirstLine > 0 && f.Line > 0 {
 				f.Line += s.FirstLine - 1
 				break
 			}
--- a/internal/document/types.go
+++ b/internal/document/types.go
@@ -62,7 +62,7 @@
 }
 
 // Bounds on the text. They keep one section readable by a person and the time
-// that checking takes near a second (0.85 s in BenchmarkParseWorst).
+// that checking takes near a second (1.04 s in BenchmarkParseWorst on a busy machine).
 const (
 	MaxDocumentBytes   = 4 << 20
 	MaxSectionBytes    = 256 << 10
--- a/internal/document/values.go
+++ b/internal/document/values.go
@@ -83,11 +83,8 @@
 func parseAddress(text string) (netip.Addr, *fault) {
 	addr, err := netip.ParseAddr(text)
 	if err != nil {
-		if withPort, err := netip.ParseAddrPort(text); err == nil && withPort.Addr().Is4() {
-			return netip.Addr{}, &fault{
-				"is an address and a port in one",
-				fmt.Sprintf("did you mean \"%s, port %d\"?", withPort.Addr(), withPort.Port()),
-			}
+		if wrong := addressWithPort(text); wrong != nil {
+			return netip.Addr{}, wrong
 		}
 		return netip.Addr{}, &fault{"is not an address", "write four numbers from 0 to 255, such as 10.20.0.1"}
 	}
@@ -100,6 +97,18 @@
 	return addr, nil
 }
 
+// addressWithPort explains a text such as 10.20.0.1:443; it returns nil for others.
+func addressWithPort(text string) *fault {
+	both, err := netip.ParseAddrPort(text)
+	if err != nil || !both.Addr().Is4() {
+		return nil
+	}
+	return &fault{
+		"is an address and a port in one",
+		fmt.Sprintf("did you mean \"%s, port %d\"?", both.Addr(), both.Port()),
+	}
+}
+
 func parseNumber(text string, least, most int) (int, *fault) {
 	if n, ok := numberWords[strings.ToLower(text)]; ok && n >= least && n <= most {
 		return n, nil
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -17,8 +17,9 @@
 type Backend interface {
 	// Save puts a new text of one section in force. It returns after the change
 	// is in force or refused. A second call with the same Change.ID returns the
-	// first answer. It fails with Refused, Race, NoQuorum, NotLeader,
-	// Unauthorised or Unanswered.
+	// first answer. It fails with Refused, Race, NoQuorum, NotLeader, NotFound
+	// (a base version of a section that does not exist), Unauthorised (another
+	// team's section) or Unanswered.
 	Save(ctx context.Context, change Change) (Answer, error)
 	// Sections returns the sections in force, in a stable order.
 	Sections(ctx context.Context) ([]document.Section, error)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -22,6 +23,7 @@
 	rounds      = 4
 	firstPause  = 250 * time.Millisecond
 	attemptTime = answerTime + 5*time.Second
+	dialTime    = 3 * time.Second // a dead host does not refuse, and the next one is waiting
 	maxReply    = 64 << 20
 )
 
@@ -53,6 +55,7 @@
 		Timeout: attemptTime,
 		Transport: &http.Transport{
 			TLSClientConfig:     &tls.Config{RootCAs: options.Roots, MinVersion: tls.VersionTLS13},
+			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
 			TLSHandshakeTimeout: 5 * time.Second,
 			ForceAttemptHTTP2:   true,
 		},
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -54,6 +54,9 @@
 		return first, nil
 	}
 	versions := f.versions[c.Section]
+	if len(versions) == 0 && c.Base > 0 {
+		return operator.Answer{}, &operator.NotFound{What: "section " + c.Section}
+	}
 	if n := len(versions); uint64(n) != c.Base {
 		last := versions[n-1]
 		return operator.Answer{}, &operator.Race{Section: c.Section, Version: last.Version, Team: last.Team, Author: "ann", Text: last.Text}
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -129,9 +130,10 @@
 
 // toError returns the error that p stands for.
 func (p problem) toError() error {
+	reason := cmp.Or(p.Reason, p.Message, "the control host gave no reason")
 	switch p.Kind {
 	case "refused":
-		return &Refused{Reason: p.Reason, Findings: fromFindings(p.Findings)}
+		return &Refused{Reason: reason, Findings: fromFindings(p.Findings)}
 	case "race":
 		if p.Winner == nil {
 			return &Unanswered{"the control host gave no winner of the race"}
@@ -139,18 +141,18 @@
 		race := Race(*p.Winner)
 		return &race
 	case "no quorum":
-		return &NoQuorum{p.Reason}
+		return &NoQuorum{reason}
 	case "not leader":
 		return &NotLeader{p.Leader}
 	case "unauthorised":
-		return &Unauthorised{p.Reason}
+		return &Unauthorised{reason}
 	case "not found":
-		return &NotFound{p.Reason}
+		return &NotFound{reason}
 	case "bad request":
-		return &Refused{Reason: "the control host does not understand the request: " + p.Reason}
+		return &Refused{Reason: "the control host does not understand the request: " + reason}
 	case "unanswered":
-		return &Unanswered{p.Reason}
+		return &Unanswered{reason}
 	default:
-		return &Unanswered{p.Message}
+		return &Unanswered{cmp.Or(p.Message, reason)}
 	}
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"cassiawood/internal/duty"
 )
 
@@ -17,6 +19,9 @@
 // It is longer than answerTime, so that a save in progress gets its answer.
 const stopTime = answerTime + time.Second
 
+// maxConnections bounds the connections of operators; others wait to be accepted.
+const maxConnections = 256
+
 // ServerOptions are the parts of a server.
 type ServerOptions struct {
 	Address     string // such as 10.0.0.1:8443
@@ -42,7 +47,7 @@
 	}
 	return &Server{
 		options:  options,
-		listener: tls.NewListener(listener, options.Certificate.TLS()),
+		listener: tls.NewListener(netutil.LimitListener(listener, maxConnections), options.Certificate.TLS()),
 		http: &http.Server{
 			Handler:           NewHandler(options.Backend, options.Guard, options.Log),
 			ReadHeaderTimeout: 5 * time.Second,
