Let an entry host that starts cut off ask its peers for the directory

Cause: entry hosts have no disk; one that restarted during a partition from the control hosts had no tables and dropped every packet. Change: peerHosts in the settings, a bootstrap duty that asks them while no control host has answered, and the request on the peer server. A hand-off from a host that is in no directory is accepted; it gets no hint.

--- /dev/null
+++ b/internal/entry/bootstrap.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// bootstrapWait is how long a starting host waits for a control host before it
+// asks its peers, and between two rounds of asking.
+const bootstrapWait = 2 * time.Second
+
+// bootstrapDuty gives a host that starts cut off from the control hosts the
+// last committed directory of a peer. Entry hosts have no disk, so without it a
+// failure domain could not serve after a restart during a partition.
+type bootstrapDuty struct {
+	log    *slog.Logger
+	peers  []string
+	tls    *tls.Config
+	engine *ring.Ring[engineEvent]
+}
+
+func (d *bootstrapDuty) run(ctx context.Context, _ *duty.Progress) error {
+	for {
+		sleep(ctx, bootstrapWait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		status, err := askStatus(d.engine)
+		if err != nil {
+			return nil
+		}
+		if status.Index > 0 {
+			<-ctx.Done()
+			return nil
+		}
+		d.askPeers(ctx)
+	}
+}
+
+// askPeers installs the newest directory that the peers have.
+func (d *bootstrapDuty) askPeers(ctx context.Context) {
+	var newest *directory.State
+	for _, address := range d.peers {
+		state, err := d.ask(ctx, address)
+		if err != nil {
+			d.log.Debug("no directory from peer", "address", address, "error", err)
+			continue
+		}
+		if newest == nil || state.Index() > newest.Index() {
+			newest = state
+		}
+	}
+	if newest != nil {
+		_, _ = d.engine.Put(engineSnapshot{state: newest})
+	}
+}
+
+func (d *bootstrapDuty) ask(ctx context.Context, address string) (*directory.State, error) {
+	session, err := wire.Dial(ctx, address, d.tls)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = session.Close() }()
+	stream, err := session.Open()
+	if err != nil {
+		return nil, err
+	}
+	request := &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotRequest{SnapshotRequest: &wirepb.SnapshotRequest{}}}
+	if err := stream.Send(request); err != nil {
+		return nil, err
+	}
+	envelope, err := stream.Receive()
+	if err != nil {
+		return nil, err
+	}
+	if envelope.GetSnapshot() == nil {
+		return nil, errors.New("the peer has no directory")
+	}
+	return stateFromProto(envelope.GetSnapshot())
+}
+
+func stateFromProto(p *wirepb.Snapshot) (*directory.State, error) {
+	snapshot, err := wire.DecodeState(p.GetState())
+	if err != nil {
+		return nil, fmt.Errorf("directory of a snapshot: %w", err)
+	}
+	return directory.FromSnapshot(snapshot)
+}
+
+// askStatus asks the engine duty for its status.
+func askStatus(engine *ring.Ring[engineEvent]) (Status, error) {
+	result := ring.New[Status]("status", 1, ring.DropNewest)
+	if _, err := engine.Put(engineStatus{result: result}); err != nil {
+		return Status{}, fmt.Errorf("ask the engine: %w", err)
+	}
+	return result.Get()
+}
--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"time"
 
-	"cassiawood/internal/directory"
 	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -299,11 +298,7 @@
 		_, err = l.engine.Put(engineEntries{entries: entries, contact: contactOf(body.EntryBatch)})
 		return err
 	case *wirepb.Envelope_Snapshot:
-		snapshot, err := wire.DecodeState(body.Snapshot.GetState())
-		if err != nil {
-			return err
-		}
-		state, err := directory.FromSnapshot(snapshot)
+		state, err := stateFromProto(body.Snapshot)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -44,6 +44,10 @@
 		instance string
 		accepts  bool
 	}
+	// engineDirectory asks for a copy of the directory.
+	engineDirectory struct {
+		result *ring.Ring[directory.Snapshot]
+	}
 	engineStop   struct{}
 	engineStatus struct{ result *ring.Ring[Status] }
 )
@@ -55,6 +59,7 @@
 func (enginePeerHello) isEngineEvent()   {}
 func (enginePeerMessage) isEngineEvent() {}
 func (engineProbe) isEngineEvent()       {}
+func (engineDirectory) isEngineEvent()   {}
 func (engineStop) isEngineEvent()        {}
 func (engineStatus) isEngineEvent()      {}
 
@@ -126,6 +131,8 @@
 		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
 			d.flow.Heard(now, endpoint.ID, e.accepts)
 		}
+	case engineDirectory:
+		e.result.Offer(d.state.Snapshot())
 	case engineStop:
 		d.stopping = true
 		d.flow.Stop(now)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -155,6 +155,10 @@
 	writer := &writerDuty{conn: ipv4.NewPacketConn(k.packets), free: r.free}
 	peerServer := &peerServer{log: h.log, listener: k.peers, tls: config, engine: r.engine}
 	prober := &proberDuty{prober: announce.NewProber(), targets: r.probes, engine: r.engine, control: r.control}
+	boot := &bootstrapDuty{log: h.log, tls: config, engine: r.engine}
+	for _, a := range h.settings.PeerHosts {
+		boot.peers = append(boot.peers, a.String())
+	}
 	ticker := &clockDuty{engine: r.engine, control: r.control, clock: clock}
 	h.group.Add(duty.Duty{Name: "fabric reader", Run: reader.run})
 	h.group.Add(duty.FromRing("flow engine", r.engine, engine.handle))
@@ -163,6 +167,7 @@
 	h.group.Add(duty.FromRing("peer links", r.peers, h.peers.handle))
 	h.group.Add(duty.Duty{Name: "peer server", Run: peerServer.run})
 	h.group.Add(duty.Duty{Name: "prober", Run: prober.run})
+	h.group.Add(duty.Duty{Name: "bootstrap", Run: boot.run})
 	h.group.Add(duty.Duty{Name: "clock", Run: ticker.run})
 }
 
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -85,11 +85,12 @@
 	if packet.DecodeHandoff(option, &h) != nil {
 		return false
 	}
-	service, knownService := d.names.services[h.Service]
-	ingress, knownHost := d.names.hosts[h.Ingress]
-	if !knownService || !knownHost {
+	service, ok := d.names.services[h.Service]
+	if !ok {
 		return false
 	}
+	// A host that started cut off is in no directory; it gets no hint.
+	ingress := d.names.hosts[h.Ingress]
 	*to = flow.Handoff{
 		Present: true, HasRecord: h.HasRecord, Hops: h.Hops, AskedLen: h.AskedLen, Bucket: h.Bucket,
 		Service: service, Ingress: ingress, AskedAt: h.AskedAt,
--- a/internal/entry/peer_link.go
+++ b/internal/entry/peer_link.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 
+	"cassiawood/internal/directory"
 	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -167,7 +168,7 @@
 	for {
 		e, err := stream.Receive()
 		if err == nil {
-			err = s.dispatch(e, &from)
+			err = s.dispatch(stream, e, &from)
 		}
 		if err != nil {
 			s.log.Debug("peer link ended", "peer", from, "reason", err)
@@ -176,7 +177,10 @@
 	}
 }
 
-func (s *peerServer) dispatch(e *wirepb.Envelope, from *string) error {
+func (s *peerServer) dispatch(stream *wire.Stream, e *wirepb.Envelope, from *string) error {
+	if _, ok := e.GetBody().(*wirepb.Envelope_SnapshotRequest); ok {
+		return s.sendDirectory(stream)
+	}
 	if hello, ok := e.GetBody().(*wirepb.Envelope_PeerHello); ok {
 		*from = hello.PeerHello.GetHost()
 		_, err := s.engine.Put(enginePeerHello{
@@ -195,3 +199,20 @@
 	_, err = s.engine.Put(enginePeerMessage{from: *from, message: m})
 	return err
 }
+
+// sendDirectory answers a peer that starts without a control host.
+func (s *peerServer) sendDirectory(stream *wire.Stream) error {
+	result := ring.New[directory.Snapshot]("directory", 1, ring.DropNewest)
+	if _, err := s.engine.Put(engineDirectory{result: result}); err != nil {
+		return err
+	}
+	snapshot, err := result.Get()
+	if err != nil {
+		return err
+	}
+	data, err := wire.EncodeState(snapshot)
+	if err != nil {
+		return err
+	}
+	return stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_Snapshot{Snapshot: &wirepb.Snapshot{State: data}}})
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"cassiawood/internal/ring"
 	"cassiawood/internal/settings"
 )
 
@@ -50,13 +49,7 @@
 }
 
 // Status asks the engine duty for its status.
-func (h *Host) Status() (Status, error) {
-	result := ring.New[Status]("status", 1, ring.DropNewest)
-	if _, err := h.rings.engine.Put(engineStatus{result: result}); err != nil {
-		return Status{}, fmt.Errorf("ask the engine: %w", err)
-	}
-	return result.Get()
-}
+func (h *Host) Status() (Status, error) { return askStatus(h.rings.engine) }
 
 // Lost says what an immediate end of the process loses.
 func (h *Host) Lost() string {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 )
 
 const (
@@ -33,10 +34,13 @@
 	for i, address := range s.ControlHosts {
 		checkAddress(fmt.Sprintf("controlHosts[%d]", i), address, report)
 	}
+	for i, address := range s.PeerHosts {
+		checkAddress(fmt.Sprintf("peerHosts[%d]", i), address, report)
+	}
 	checkRange("maxFlows", float64(s.MaxFlows), minFlows, maxFlows, report)
 	checkRange("shutdownLimitSeconds", s.ShutdownLimitSeconds, 1, maxShutdownSeconds, report)
 	checkRange("drainSeconds", s.DrainSeconds, 0, s.ShutdownLimitSeconds, report)
-	s.TLS.check("tls", append(s.ControlHosts, s.PeerAddress), report)
+	s.TLS.check("tls", slices.Concat(s.ControlHosts, s.PeerHosts, []netip.AddrPort{s.PeerAddress}), report)
 	s.Log.check(report)
 }
 
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -29,6 +29,7 @@
 	AnnounceAddress      netip.AddrPort   `json:"announceAddress"`
 	TelemetryAddress     netip.AddrPort   `json:"telemetryAddress"`
 	ControlHosts         []netip.AddrPort `json:"controlHosts"`
+	PeerHosts            []netip.AddrPort `json:"peerHosts"` // peer addresses to ask when no control host answers at the start
 	TLS                  TLS              `json:"tls"`
 	Log                  Log              `json:"log"`
 	MaxFlows             int              `json:"maxFlows"`
