--- a/internal/flow/embryo.go
+++ b/internal/flow/embryo.go
@@ -1,15 +1,173 @@
 package flow
 
-// embryos is the flows whose first packet this host forwarded shortly before a
-// move of their bucket was prepared.
-type embryos struct{}
+import (
+	"slices"
+	"time"
 
-func (em *embryos) note(*entry) {}
+	"cassiawood/internal/directory"
+)
 
-func (e *Engine) acknowledgeLater() { e.out.Acknowledge = e.table.Index() }
+const (
+	// embryoLife covers the repetitions of a first packet after 1 s and, if that one is
+	// lost too, after 3 s (RFC 6298). A flow whose first packet is repeated later than
+	// this, across a committed move, may be placed anew.
+	embryoLife = 3500 * time.Millisecond
+	// embryoLimit bounds the memory; 5,000 new flows per second fit embryoLife.
+	embryoLimit = 1 << 15
+	// embryoRetry is the time between repetitions of an unconfirmed batch.
+	embryoRetry = 200 * time.Millisecond
+)
 
-func (e *Engine) tickEmbryos() {}
+// embryo is a flow whose first packet this host forwarded without a record.
+type embryo struct {
+	key      flowKey
+	endpoint directory.EndpointID
+	sequence uint32
+	at       stamp
+}
 
-func (e *Engine) dropEmbryoTarget(string) {}
+// embryos remembers the flows that began without a record shortly before their bucket
+// is prepared for a move. Their first packet may be repeated after the move
+// is committed and must then find a record.
+type embryos struct {
+	ring    []embryo
+	next    int
+	tracked map[holdingKey]struct{} // newly prepared holdings of the present update
+	open    map[uint64]*openBatch
+}
 
-func (e *Engine) confirmEmbryos(string, uint64) {}
+// openBatch is a batch of embryos that a holder has not confirmed.
+type openBatch struct {
+	to    string
+	index uint64
+	sent  time.Duration
+	batch *RecordBatch
+}
+
+func (em *embryos) note(en *entry, now stamp) {
+	if en.kind != entryObserved {
+		return
+	}
+	em.add(embryo{key: en.key, endpoint: en.endpoint, sequence: en.sequence, at: now})
+}
+
+func (em *embryos) add(one embryo) {
+	if len(em.ring) < embryoLimit {
+		em.ring = append(em.ring, one)
+		return
+	}
+	em.ring[em.next] = one
+	em.next = (em.next + 1) % embryoLimit
+}
+
+// begin notes that a bucket without records is now prepared to move.
+func (em *embryos) begin(key holdingKey) {
+	if em.tracked == nil {
+		em.tracked = map[holdingKey]struct{}{}
+	}
+	em.tracked[key] = struct{}{}
+}
+
+// pushEmbryos gives the holders of newly prepared buckets the records of the flows that
+// began just before. The index is acknowledged once they confirm.
+func (e *Engine) pushEmbryos() {
+	em := &e.embryos
+	if len(em.tracked) == 0 {
+		return
+	}
+	records := map[string][]Record{}
+	for i := range em.ring {
+		one := &em.ring[i]
+		if e.clock.since(one.at) > embryoLife {
+			continue
+		}
+		e.addressEmbryo(one, records)
+	}
+	clear(em.tracked)
+	for to, all := range records {
+		for part := range slices.Chunk(all, batchRecords) {
+			b := e.newBatch()
+			b.Records = part
+			if em.open == nil {
+				em.open = map[uint64]*openBatch{}
+			}
+			em.open[b.ID] = &openBatch{to: to, index: e.table.Index(), sent: e.now, batch: b}
+			e.send(Message{To: to, Batch: b})
+		}
+	}
+}
+
+// addressEmbryo adds the record of an embryo for both holders, or stores it if this
+// host is one of them.
+func (e *Engine) addressEmbryo(one *embryo, records map[string][]Record) {
+	svc, ok := e.table.Service(one.key.service(), one.key[12])
+	if !ok {
+		return
+	}
+	number := one.key.hash() & uint64(svc.Buckets-1)
+	b, ok := e.table.Bucket(svc.Name, int(number))
+	if !ok || b.Next == 0 {
+		return
+	}
+	home, ok := e.endpointDomain(b.Next)
+	key := holdingKey{svc.Name, uint32(number), home}
+	if _, tracked := e.embryos.tracked[key]; !ok || !tracked {
+		return
+	}
+	r := Record{
+		Caller: one.key.caller(), Service: one.key.service(), Protocol: one.key[12], State: Sent,
+		Endpoint: one.endpoint, Sequence: one.sequence, Home: home,
+	}
+	pos := e.byKey[key]
+	h := &e.holdings[pos]
+	for _, to := range []string{h.first, h.second} {
+		switch to {
+		case "":
+		case e.cfg.Host:
+			e.store(&r, pos, false)
+		default:
+			records[to] = append(records[to], r)
+		}
+	}
+}
+
+// acknowledge sets the index up to which all embryos are confirmed.
+func (e *Engine) acknowledge() {
+	if e.table == nil {
+		return
+	}
+	index := e.table.Index()
+	for _, o := range e.embryos.open {
+		index = min(index, o.index-1)
+	}
+	e.out.Acknowledge = max(e.out.Acknowledge, index)
+}
+
+func (e *Engine) tickEmbryos() {
+	for id, o := range e.embryos.open {
+		switch {
+		case !e.isSource(o.to):
+			delete(e.embryos.open, id)
+		case e.now-o.sent >= embryoRetry:
+			o.sent = e.now
+			e.send(Message{To: o.to, Batch: o.batch})
+		}
+	}
+	e.acknowledge()
+}
+
+func (e *Engine) dropEmbryoTarget(host string) {
+	for id, o := range e.embryos.open {
+		if o.to == host && !e.isSource(host) {
+			delete(e.embryos.open, id)
+		}
+	}
+	e.acknowledge()
+}
+
+func (e *Engine) confirmEmbryos(from string, id uint64) {
+	if o := e.embryos.open[id]; o != nil && o.to == from {
+		delete(e.embryos.open, id)
+		e.acknowledge()
+	}
+}
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -58,6 +58,7 @@
 	domains map[string]DomainID
 
 	lastContact time.Duration
+	freshSince  time.Duration // end of the last fence
 	alive       map[directory.EndpointID]heard
 	stopping    bool
 	handover    handover
@@ -81,6 +82,7 @@
 		wasWhole: true,
 	}
 	e.silent.init()
+	e.freshSince = -recoverDelay
 	return e
 }
 
@@ -115,7 +117,8 @@
 	}
 	e.rescanHoldings()
 	e.noteHandover()
-	e.acknowledgeLater()
+	e.pushEmbryos()
+	e.acknowledge()
 	e.requestCopies()
 }
 
--- a/internal/flow/fence.go
+++ b/internal/flow/fence.go
@@ -10,6 +10,9 @@
 	// fenceAfter equals the host lease: the log counts a host as fenced after that time
 	// and commits moves without its acknowledgement.
 	fenceAfter = 2 * time.Second
+	// recoverDelay is how long a host that was fenced begins no flows, so that the hosts
+	// which are still fenced hear of it first and no longer use their own tables.
+	recoverDelay = 500 * time.Millisecond
 	// heardLife is the age up to which a probe or announcement counts while fenced.
 	heardLife = 2 * time.Second
 )
@@ -24,6 +27,9 @@
 // this host's table was current at the given time. Use the time at which the request
 // was sent, so that the delay of the answer does not extend the lease.
 func (e *Engine) Contact(now time.Duration) {
+	if e.started && e.Fenced() && e.now-now <= fenceAfter {
+		e.freshSince = e.now
+	}
 	e.lastContact = max(e.lastContact, now)
 }
 
@@ -39,6 +45,20 @@
 // CutOff says whether this host is fenced and reaches no host that is not.
 func (e *Engine) CutOff() bool { return e.Fenced() && e.freshPeer(0) == "" }
 
+// isolated says whether some host may decide by a newer table without this host's
+// knowledge. While every listed host is reachable and fenced, none can.
+func (e *Engine) isolated() bool {
+	for name := range e.listed {
+		if name == e.cfg.Host {
+			continue
+		}
+		if p := e.peers[name]; p == nil || !p.up {
+			return true
+		}
+	}
+	return false
+}
+
 // freshPeer picks a reachable host that is not fenced. The hash spreads the flows of a
 // fenced host over the others.
 func (e *Engine) freshPeer(hash uint64) string {
@@ -79,30 +99,79 @@
 	return e.handOff(q, target), true
 }
 
-// decideCutOff limits a cut-off host. A bucket on an endpoint of another failure domain may
-// have moved there without this host's knowledge, so only flows that it has
-// seen itself go there; the own domain's endpoints are served by the own table.
+// decideCutOff limits a cut-off host. A bucket may have moved without this host's
+// knowledge, so it forwards packets only of flows that it knows, and begins flows
+// only on the own failure domain's endpoints.
 func (e *Engine) decideCutOff(q *query) (Verdict, bool) {
 	if !q.bucket.Settled() || q.svc.BalanceFirst {
 		return Verdict{}, false
 	}
+	if q.isFirst() {
+		return e.beginCutOff(q)
+	}
+	if !e.isolated() {
+		return Verdict{}, false
+	}
+	_, en := e.flows.find(&q.key, q.hash)
+	if en != nil && en.kind == entryObserved && en.endpoint == q.bucket.Current {
+		return Verdict{}, false
+	}
+	return drop(ReasonCutOff), true
+}
+
+// beginCutOff hands a first packet to the failure domain of its endpoint. In the own
+// domain it tells the other hosts, which could not know the flow otherwise.
+func (e *Engine) beginCutOff(q *query) (Verdict, bool) {
 	ep, ok := e.table.Endpoint(q.bucket.Current)
-	if !ok || ep.Domain == e.cfg.Domain {
+	if !ok {
 		return Verdict{}, false
 	}
-	if q.isFirst() {
-		if target := e.peerIn(ep.Domain); target != "" && !q.p.Handoff.Present {
-			q.h = Handoff{
-				Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
-			}
-			return e.handOff(q, target), true
+	if ep.Domain == e.cfg.Domain {
+		if e.refusal(q, ep.ID) == NoReason {
+			e.tellDomain(q, ep.ID)
 		}
+		return Verdict{}, false
+	}
+	target := e.peerIn(ep.Domain)
+	if target == "" || q.p.Handoff.Present {
 		return drop(ReasonCutOff), true
 	}
-	if _, en := e.flows.find(&q.key, q.hash); en != nil && en.kind == entryObserved && en.endpoint == ep.ID {
-		return Verdict{}, false
+	q.h = Handoff{Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now}
+	return e.handOff(q, target), true
+}
+
+// tellDomain hints the hosts of the own failure domain at a flow that begins.
+func (e *Engine) tellDomain(q *query, id directory.EndpointID) {
+	r := Record{
+		Caller: q.key.caller(), Service: q.key.service(), Protocol: q.p.Protocol, State: Sent,
+		Endpoint: id, Sequence: q.p.Sequence, Home: e.domainID(e.cfg.Domain),
+	}
+	for name, p := range e.peers {
+		if p.up && p.domain == e.cfg.Domain {
+			e.send(Message{To: name, Hints: []Hint{{Record: r, AskedAt: -1}}})
+		}
+	}
+}
+
+// learnCutOff notes a flow that another host of a cut-off failure domain began.
+func (e *Engine) learnCutOff(r *Record) {
+	if e.table == nil || !e.Fenced() {
+		return
+	}
+	key, ok := makeKey(r.Caller, r.Service, r.Protocol)
+	if !ok {
+		return
+	}
+	hash := key.hash()
+	_, en := e.flows.find(&key, hash)
+	if en == nil {
+		if _, en = e.add(&key, hash); en == nil {
+			return
+		}
+	}
+	if en.kind != entryRecord {
+		en.kind, en.endpoint, en.sequence, en.began = entryObserved, r.Endpoint, r.Sequence, e.clock
 	}
-	return drop(ReasonCutOff), true
 }
 
 // peerIn returns a reachable host of a failure domain.
@@ -119,6 +188,9 @@
 // fencedRefusal says why a fenced host does not place a new flow on an endpoint.
 func (e *Engine) fencedRefusal(ep *directory.Endpoint) Reason {
 	if !e.Fenced() {
+		if e.now-e.freshSince < recoverDelay {
+			return ReasonFenced
+		}
 		return NoReason
 	}
 	if ep.Domain != e.cfg.Domain {
--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -138,6 +138,7 @@
 	switch {
 	case !known && !atStart:
 		h.first, h.second = first, second
+		e.embryos.begin(key)
 	case !known:
 		e.startHolding(h, first, second)
 	case first != h.first || second != h.second:
--- a/internal/flow/messages.go
+++ b/internal/flow/messages.go
@@ -30,7 +30,8 @@
 type RecordAck struct{ ID uint64 }
 
 // Hint tells an ingress host the endpoint of a flow. AskedAt is the value from the
-// hand-off, so that the age of a hint counts from the question.
+// hand-off, so that the age of a hint counts from the question; it is -1 in a
+// hint at a flow that a host of a cut-off failure domain began.
 type Hint struct {
 	Record  Record
 	AskedAt time.Duration
--- a/internal/flow/observe.go
+++ b/internal/flow/observe.go
@@ -36,7 +36,7 @@
 			en.sequence = q.p.Sequence
 		}
 		en.flags |= flagSYN
-		e.embryos.note(en)
+		e.embryos.note(en, e.clock)
 	}
 	if q.p.Flags&ACK != 0 {
 		en.ack = q.p.Ack
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -144,6 +144,10 @@
 	e.setNow(now)
 	for i := range hints {
 		h := &hints[i]
+		if h.AskedAt < 0 {
+			e.learnCutOff(&h.Record)
+			continue
+		}
 		key, ok := makeKey(h.Record.Caller, h.Record.Service, h.Record.Protocol)
 		if !ok || e.now-h.AskedAt >= hintLife || h.AskedAt > e.now {
 			continue
--- a/internal/flow/resolve.go
+++ b/internal/flow/resolve.go
@@ -382,6 +382,9 @@
 	if id == 0 {
 		return drop(ReasonNoRecord)
 	}
+	if e.CutOff() && e.isolated() {
+		return drop(ReasonCutOff)
+	}
 	ep, ok := e.table.Endpoint(id)
 	if !ok || ep.State == directory.Removed || held == 0 || e.holdings[held].first != e.cfg.Host {
 		return e.deliver(q, id, nil)
