Test the bounds of the document and name the next steps after keys

Cause: changing the code on a scratch copy showed that no test noticed a missing bound, a doubly announced name or a rule with a misspelt start in a note. Change: specs for these; long lines are wrapped; keys says where its files go.

--- a/cmd/cassiawood/edit.go
+++ b/cmd/cassiawood/edit.go
@@ -32,7 +32,8 @@
 	}
 	sections, findings := document.Check(string(text))
 	if len(findings) > 0 {
-		return nil, &operator.Refused{Reason: count(len(findings), "problem") + " in " + file + ", where lines are counted from the top of the file:", Findings: findings}
+		reason := fmt.Sprintf("%s in %s, where lines are counted from the top of the file:", count(len(findings), "problem"), file)
+		return nil, &operator.Refused{Reason: reason, Findings: findings}
 	}
 	return sections, nil
 }
@@ -140,7 +141,8 @@
 			continue
 		}
 		if p.settings.Team != "" && s.Team != p.settings.Team {
-			return nil, &operator.Refused{Reason: fmt.Sprintf("section %q belongs to team %q and differs from the one in force, but your token is of team %q; nothing was changed",
+			return nil, &operator.Refused{Reason: fmt.Sprintf(
+				"section %q belongs to team %q and differs from the one in force, but your token is of team %q; nothing was changed",
 				s.Heading, s.Team, p.settings.Team)}
 		}
 		changed = append(changed, s)
--- a/cmd/cassiawood/exit.go
+++ b/cmd/cassiawood/exit.go
@@ -58,7 +58,8 @@
 func inWords(err error) string {
 	var race *operator.Race
 	if errors.As(err, &race) {
-		return fmt.Sprintf("%v.\nThe text in force is:\n\n%s\n\nWork your change into it: cassiawood show -section %q -o FILE writes it to a file that you can change and save.",
+		return fmt.Sprintf("%v.\nThe text in force is:\n\n%s\n\n"+
+			"Work your change into it: cassiawood show -section %q -o FILE writes it to a file that you can change and save.",
 			err, race.Text, race.Section)
 	}
 	return err.Error()
--- a/cmd/cassiawood/keys.go
+++ b/cmd/cassiawood/keys.go
@@ -38,8 +38,10 @@
 	k := &keyMaker{now: time.Now()}
 	var hosts, teams string
 	flags.StringVar(&k.dir, "out", "", "`directory` for the files")
-	flags.StringVar(&hosts, "hosts", "", "`addresses` of the control hosts, with commas between them; the port is "+operatorPort+" if none is given")
-	flags.StringVar(&teams, "teams", "", "`names` of the teams that get a token, with commas between them; the team \""+siteTeam+"\" may also drain hosts")
+	flags.StringVar(&hosts, "hosts", "",
+		"`addresses` of the control hosts, with commas between them; the port is "+operatorPort+" if none is given")
+	flags.StringVar(&teams, "teams", "",
+		"`names` of the teams that get a token, with commas between them; the team \""+siteTeam+"\" may also drain hosts")
 	flags.IntVar(&k.days, "days", 730, "`days` for which certificates and tokens are valid")
 	announce := flags.Bool("announce", false, "only print a token for backend servers' announcements and its fingerprint")
 	return func(context.Context, []string) error {
@@ -90,7 +92,9 @@
 	for _, file := range k.kept {
 		fmt.Fprintf(&b, "kept %s\n", file)
 	}
-	b.WriteString("Keep ca-key.pem away from the hosts; whoever has it can pretend to be a control host.\n")
+	b.WriteString("Copy each control host's two files to that host, and the entries of the tokens file into the settings of\n" +
+		"every control host. Give each team its directory. Keep ca-key.pem away from the hosts: whoever has it\n" +
+		"can pretend to be a control host.\n")
 	return b.String()
 }
 
@@ -101,7 +105,8 @@
 func (p *program) announceToken() error {
 	secret, hash := operator.NewSecret()
 	fingerprint := hex.EncodeToString(hash[:])
-	text := fmt.Sprintf("token for the backend servers: %s\nsentence for the document:\nIts backend servers show the announcement token with fingerprint\n\"%s\".\n", secret, fingerprint)
+	text := fmt.Sprintf("token for the backend servers: %s\nsentence for the document:\n"+
+		"Its backend servers show the announcement token with fingerprint\n\"%s\".\n", secret, fingerprint)
 	return p.print(text, map[string]string{"token": secret, "fingerprint": fingerprint})
 }
 
--- a/cmd/cassiawood/look.go
+++ b/cmd/cassiawood/look.go
@@ -29,7 +29,8 @@
 		}
 	}
 	if len(own) != 1 {
-		return document.Section{}, &usageError{fmt.Sprintf("team %q has %s; choose one with -section HEADING", p.settings.Team, count(len(own), "section"))}
+		return document.Section{}, &usageError{fmt.Sprintf("team %q has %s; choose one with -section HEADING",
+			p.settings.Team, count(len(own), "section"))}
 	}
 	return own[0], nil
 }
--- a/cmd/cassiawood/words.go
+++ b/cmd/cassiawood/words.go
@@ -47,7 +47,8 @@
 	if s.Priority == "balance" {
 		priority = "balance first"
 	}
-	return fmt.Sprintf("%s, %d of %s ready, %s", priority, s.Ready, count(s.BackendServers, "backend server"), count(s.Connections, "connection"))
+	return fmt.Sprintf("%s, %d of %s ready, %s",
+		priority, s.Ready, count(s.BackendServers, "backend server"), count(s.Connections, "connection"))
 }
 
 func backendInWords(b operator.BackendServer) string {
@@ -92,5 +93,6 @@
 			state += " (declared by " + d.DeclaredBy + ")"
 		}
 	}
-	return fmt.Sprintf("%s, %d of %s in contact, %s", state, d.HostsInContact, count(d.Hosts, "host"), count(d.BackendServers, "backend server"))
+	return fmt.Sprintf("%s, %d of %s in contact, %s",
+		state, d.HostsInContact, count(d.Hosts, "host"), count(d.BackendServers, "backend server"))
 }
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -39,7 +39,8 @@
 func parseSection(section Section) *parser {
 	p := &parser{section: section.Heading}
 	if len(section.Text) > MaxSectionBytes {
-		p.add(token{line: 1, column: 1}, "", fmt.Sprintf("this section has more than %d characters", MaxSectionBytes), "split it into two sections")
+		p.add(token{line: 1, column: 1}, "",
+			fmt.Sprintf("this section has more than %d characters", MaxSectionBytes), "split it into two sections")
 		return p
 	}
 	p.findings = hiddenCharacters(p.section, section.Text)
@@ -70,7 +71,8 @@
 	for _, para := range paragraphs {
 		for _, s := range para.sentences {
 			if sentences++; sentences > MaxSentences {
-				p.add(s.tokens[0], "", fmt.Sprintf("this section has more than %d sentences", MaxSentences), "split it into two sections")
+				p.add(s.tokens[0], "",
+					fmt.Sprintf("this section has more than %d sentences", MaxSentences), "split it into two sections")
 				return
 			}
 			if para.note {
@@ -123,7 +125,8 @@
 func (p *parser) sentence(s sentence) {
 	first := s.tokens[0]
 	if len(s.tokens) > MaxSentenceWords {
-		p.add(first, written(s.tokens[:5]), fmt.Sprintf("begins a sentence of more than %d words", MaxSentenceWords), "use shorter sentences")
+		p.add(first, written(s.tokens[:5]),
+			fmt.Sprintf("begins a sentence of more than %d words", MaxSentenceWords), "use shorter sentences")
 		return
 	}
 	if s.broken {
@@ -175,11 +178,14 @@
 	}
 	d := p.current
 	if d == nil {
-		p.add(first, first.text, "comes before any service", `begin with a sentence such as 'The service "order-desk" is reached at 10.20.0.1, port 443.'`)
+		p.add(first, first.text, "comes before any service",
+			`begin with a sentence such as 'The service "order-desk" is reached at 10.20.0.1, port 443.'`)
 		return
 	}
 	if said := d.said[f.rule]; said > 0 {
-		p.add(first, first.text, fmt.Sprintf("begins a rule that line %d already gives for the service %q", said, d.service.Name), "keep one of the two")
+		p.add(first, first.text,
+			fmt.Sprintf("begins a rule that line %d already gives for the service %q", said, d.service.Name),
+			"keep one of the two")
 		return
 	}
 	d.said[f.rule] = first.line
@@ -205,7 +211,8 @@
 	d.service.AnnouncedAs = d.service.Name
 	d.service.MaxWait = DefaultMaxWait
 	if len(p.services) == MaxServices {
-		p.add(name, name.text, fmt.Sprintf("is more than the %d services that one section may have", MaxServices), "split it into two sections")
+		p.add(name, name.text,
+			fmt.Sprintf("is more than the %d services that one section may have", MaxServices), "split it into two sections")
 		return
 	}
 	p.services = append(p.services, d)
@@ -252,7 +259,8 @@
 			continue
 		}
 		if len(d.service.AllowedSources) == MaxSources {
-			p.add(v, v.text, fmt.Sprintf("is more than the %d ranges that one service may have", MaxSources), "use larger ranges")
+			p.add(v, v.text,
+				fmt.Sprintf("is more than the %d ranges that one service may have", MaxSources), "use larger ranges")
 			return
 		}
 		d.service.AllowedSources = append(d.service.AllowedSources, source)
--- a/internal/document/parse_test.go
+++ b/internal/document/parse_test.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"regexp"
@@ -15,6 +16,14 @@
 
 func shop(text string) Section { return Section{Heading: "Orders", Team: "shop", Text: text} }
 
+func manyServices(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "The service \"s%d\" is reached at 10.0.0.1, port %d.\n", i, i+1)
+	}
+	return b.String()
+}
+
 func read(path string) string {
 	GinkgoHelper()
 	text, err := os.ReadFile(path)
@@ -120,10 +129,16 @@
 		Entry("an address used twice", desk+strings.ReplaceAll(desk, "order", "help"), `2: "10.20.0.1" is the address of a service that line 1 already uses`),
 		Entry("an announced name that is another service's by default", desk+`The service "b" is reached at 10.0.0.2, port 1. Its backend servers announce themselves as "order-desk".`,
 			`2: "order-desk" is the announced name of backend servers that line 1 already uses`),
+		Entry("an announced name given twice", desk+"Its backend servers announce themselves as \"x\".\n"+
+			"The service \"b\" is reached at 10.0.0.2, port 1. Its backend servers announce themselves as \"x\".",
+			`3: "x" is the announced name of backend servers that line 2 already uses`),
+		Entry("an announced name given twice with the service's name", desk+"Its backend servers announce themselves as \"x\".\n"+
+			"The service \"order-desk\" is reached at 10.0.0.2, port 1. Its backend servers announce themselves as \"x\".", `3: "order-desk"`, `3: "x"`),
 		Entry("words outside a note", desk+"Please be quick.", `2: "Please be quick" is not understood`),
 		Entry("a rule swallowed by a note", desk+"\nNote: busy in May.\nEach backend server takes 2 requests at once.", `4: "Each backend server takes 2 requests at once" reads like a rule`),
 		Entry("a rule over a line end in a note", desk+"\nNote: busy. Each backend server takes\n2 requests at once.", `3: "Each backend server takes 2 requests at once" reads like a rule`),
 		Entry("a rule after a remark without a full stop in a note", desk+"\nNote: busy in May\nEach backend server takes\n2 requests at once.", `4: "Each`),
+		Entry("a rule with a typing error at its start in a note", desk+"\nNote: busy in May\nEach bakend server takes 2 requests at once.", `4: "Each`),
 		Entry("a rule with a typing error in a note", desk+"\nNote: Each backend server takes 2 reqests at once.", `3: "Each backend server takes 2 reqests at once" reads like a rule`),
 		Entry("a note inside a paragraph", desk+"Note: busy in May.", `2: "Note:" does not begin a paragraph`),
 		Entry("a heading inside a section", desk+`Section "Sheets", owned by team "shop".`, `2: 'Section "Sheets", owned by team "shop".' begins a section inside a section`),
@@ -139,6 +154,19 @@
 		Expect([]any{f.Section, f.Line, f.Column, f.Words}).To(Equal([]any{"Orders", 2, 51, "prot 443"}))
 	})
 
+	// Guards against sizes that a later part of the system cannot hold.
+	DescribeTable("bounds", func(text, wanted string) {
+		_, findings := Check("Section \"A\", owned by team \"a\".\n\n" + text)
+		Expect(findings).To(HaveLen(1))
+		Expect(findings[0].Problem).To(ContainSubstring(wanted))
+	},
+		Entry("the document", strings.Repeat("\n", MaxDocumentBytes), "more than 4194304 characters"),
+		Entry("the services of a section", manyServices(MaxServices+1), "more than the 500 services"),
+		Entry("the sources of a service", desk+"Its backend servers may announce themselves from "+strings.Repeat("10.0.0.1 ", MaxSources+1)+".", "more than the 64 ranges"),
+		Entry("the words of a sentence", strings.Repeat("word ", MaxSentenceWords+1)+".", "more than 200 words"),
+		Entry("the letters of a name", strings.ReplaceAll(desk, "order-desk", strings.Repeat("a", MaxNameBytes+1)), "at most 63"),
+	)
+
 	// Guards against a text that takes seconds to refuse and so blocks other operators.
 	It("bounds the sentences that it looks at", func() {
 		_, findings := Parse(shop(strings.Repeat("a. ", MaxSentences+100)))
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -177,7 +177,8 @@
 func (e *exchange) attempt(ctx context.Context, host string, result any) error {
 	var arrived atomic.Bool // set by the transport
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { arrived.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), e.method, "https://"+host+e.path, bytes.NewReader(e.body))
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, e.method, "https://"+host+e.path, bytes.NewReader(e.body))
 	if err != nil {
 		return fmt.Errorf("host %q: %w", host, err)
 	}
--- a/internal/operator/handlers.go
+++ b/internal/operator/handlers.go
@@ -133,13 +133,18 @@
 	return nil
 }
 
+// checkChange checks the words that every change has.
+func checkChange(id, author, name, subject string) error {
+	return errors.Join(checkWords("change_id", id), checkWords("author", author), checkWords(name, subject))
+}
+
 func (a *api) save(c *call) (any, error) {
 	var change Change
 	if err := c.readBody(&change); err != nil {
 		return nil, err
 	}
 	change.Team = c.token.Team
-	if err := errors.Join(checkWords("change_id", change.ID), checkWords("author", change.Author), checkWords("section", change.Section)); err != nil {
+	if err := checkChange(change.ID, change.Author, "section", change.Section); err != nil {
 		return nil, err
 	}
 	if err := a.checkOwner(c, change.Section); err != nil {
@@ -161,7 +166,8 @@
 		return err
 	}
 	if current.Team != c.token.Team {
-		return &Unauthorised{fmt.Sprintf("section %q belongs to team %q, and your token is of team %q", heading, current.Team, c.token.Team)}
+		return &Unauthorised{fmt.Sprintf("section %q belongs to team %q, and your token is of team %q",
+			heading, current.Team, c.token.Team)}
 	}
 	return nil
 }
@@ -200,7 +206,7 @@
 		return nil, err
 	}
 	change.Team = c.token.Team
-	if err := errors.Join(checkWords("change_id", change.ID), checkWords("author", change.Author), checkWords("failure_domain", change.Domain)); err != nil {
+	if err := checkChange(change.ID, change.Author, "failure_domain", change.Domain); err != nil {
 		return nil, err
 	}
 	return struct{}{}, a.backend.DeclareOutOfService(c, change)
@@ -215,7 +221,7 @@
 		return nil, err
 	}
 	drain.Team = c.token.Team
-	if err := errors.Join(checkWords("change_id", drain.ID), checkWords("author", drain.Author), checkWords("host", drain.Host)); err != nil {
+	if err := checkChange(drain.ID, drain.Author, "host", drain.Host); err != nil {
 		return nil, err
 	}
 	return struct{}{}, a.backend.DrainHost(c, drain)
