lab: let callers give up a request after their patience

Cause: the crash spec waited for ever in one of nine runs. A caller whose request was acknowledged before the crash has nothing to retransmit, so its connection stays open and silent; the spec expected all five connections to break.

--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -43,7 +43,8 @@
 	Work                  time.Duration // mean time that a request occupies a slot
 	BodySize              int
 	IdempotentShare       float64
-	Retries               int // of an idempotent request with unknown outcome
+	Retries               int           // of an idempotent request with unknown outcome
+	Patience              time.Duration // after which a caller gives up a request and its connection; 0 waits for ever
 	Seed                  uint64
 }
 
@@ -55,6 +56,7 @@
 	ClosedByServer               uint64 // ended in order without a request in progress
 	Sent, Answered, Refused      uint64
 	Unknown                      uint64 // requests whose connection broke before the answer
+	GaveUp                       uint64 // requests that got no answer within the patience
 	Retried                      uint64
 	Misrouted                    uint64 // responses of another service
 	Foreign                      uint64 // responses that do not belong to the connection's request
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -100,6 +100,7 @@
 	r.Answered += o.Answered
 	r.Refused += o.Refused
 	r.Unknown += o.Unknown
+	r.GaveUp += o.GaveUp
 	r.Retried += o.Retried
 	r.Misrouted += o.Misrouted
 	r.Foreign += o.Foreign
@@ -175,7 +176,7 @@
 			what  string
 		}{
 			{s.Broken, "broken connections"},
-			{uint64(s.Lost), "lost requests"},
+			{uint64(s.Lost) + s.GaveUp, "requests without an answer"},
 			{uint64(s.Doubled), "doubled requests"},
 			{uint64(s.RefusedRan), "refused requests that ran"},
 			{s.Misrouted + s.ForeignRan, "misrouted messages"},
