--- /dev/null
+++ b/cmd/cassiawood-lab/main.go
@@ -0,0 +1,131 @@
+// Command cassiawood-lab runs stand-ins for the fabric, the callers and the
+// backend servers against entry hosts that are already running.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"cassiawood/internal/lab"
+)
+
+const (
+	// finishLimit bounds the wait for answers after the last request; what has
+	// no answer by then counts as lost.
+	finishLimit = 20 * time.Second
+	// stopLimit bounds the end of the duties.
+	stopLimit = 30 * time.Second
+)
+
+const usage = `usage: cassiawood-lab demo -entry NAME,DOMAIN,ADDRESS:PORT ... -service NAME,ADDRESS:PORT ... [options]
+
+demo runs callers and backend servers against entry hosts that are already
+running, prints a table, and exits 1 if something was broken, lost, doubled or
+misrouted. "cassiawood-lab demo -h" lists the options.`
+
+func main() {
+	if err := run(os.Args[1:], os.Stdout, os.Stderr); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "cassiawood-lab:", err)
+		}
+		os.Exit(1)
+	}
+}
+
+func run(args []string, out, diagnostics io.Writer) error {
+	if len(args) == 0 || args[0] != "demo" {
+		if _, err := fmt.Fprintln(diagnostics, usage); err != nil {
+			return fmt.Errorf("write usage: %w", err)
+		}
+		return errors.New("no command, or an unknown one")
+	}
+	o, err := parseOptions(args[1:], diagnostics)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(diagnostics, &slog.HandlerOptions{Level: o.level}))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return demo(ctx, o, log, out)
+}
+
+// demo starts the lab, lets it run, and reports.
+func demo(ctx context.Context, o *options, log *slog.Logger, out io.Writer) (failure error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var running *lab.Lab
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(o.lab, log),
+		fx.StopTimeout(stopLimit),
+		fx.Provide(func(config lab.Config, log *slog.Logger, lifecycle fx.Lifecycle) (*lab.Lab, error) {
+			l, err := lab.Start(config, log, func(reason error) { cancel(reason) })
+			if err == nil {
+				lifecycle.Append(fx.StopHook(l.Stop))
+			}
+			return l, err
+		}),
+		fx.Populate(&running),
+	)
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	defer func() {
+		stopping, done := context.WithTimeout(context.Background(), stopLimit)
+		defer done()
+		failure = errors.Join(failure, app.Stop(stopping))
+	}()
+	log.Info("lab runs", "fabric", running.Fabric().Addr(), "duration", o.duration)
+	wait(ctx, o.duration)
+	if reason := context.Cause(ctx); reason != nil && !errors.Is(reason, context.Canceled) {
+		return reason
+	}
+	return conclude(running, out)
+}
+
+// wait returns after the duration, or when ctx ends because of a signal or a failed duty.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// conclude lets the last requests finish and prints the account.
+func conclude(running *lab.Lab, out io.Writer) error {
+	finishing, done := context.WithTimeout(context.Background(), finishLimit)
+	defer done()
+	if err := running.Finish(finishing); err != nil {
+		return err
+	}
+	results, err := running.Results()
+	if err != nil {
+		return err
+	}
+	if err := results.WriteTable(out); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	violations := results.Violations()
+	for _, v := range violations {
+		if _, err := fmt.Fprintln(out, "violation:", v); err != nil {
+			return fmt.Errorf("write violations: %w", err)
+		}
+	}
+	if len(violations) > 0 {
+		return fmt.Errorf("%d kinds of violations", len(violations))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/announce_test.go
@@ -0,0 +1,117 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Backend", func() {
+	var (
+		heard  chan announcement
+		fabric *Fabric
+		config BackendConfig
+	)
+	BeforeEach(func() {
+		heard = make(chan announcement, 64)
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			var a announcement
+			Expect(json.NewDecoder(r.Body).Decode(&a)).To(Succeed())
+			Expect(r.Header.Get("Authorization")).To(Equal("Bearer secret"))
+			Expect(r.Method + r.URL.Path).To(Equal("POST/v1/announce"))
+			select {
+			case heard <- a:
+			default:
+			}
+		}))
+		DeferCleanup(host.Close)
+		dead := httptest.NewServer(http.NotFoundHandler())
+		DeferCleanup(dead.Close)
+		site := newSite(1, 1, 1)
+		config = site.config.Backends[0]
+		config.Token = "secret"
+		config.Lease = 30 * backendTick
+		config.AnnounceURLs = []string{dead.URL + "/v1/announce", host.URL + "/v1/announce"}
+		var err error
+		fabric, err = NewFabric(site.config.Fabric, discard, failOnFatal)
+		Expect(err).NotTo(HaveOccurred())
+		fabric.Start()
+		DeferCleanup(func() error { return fabric.Stop(context.Background()) })
+	})
+	start := func() *Backend {
+		GinkgoHelper()
+		b, err := StartBackend(fabric, config, discard, failOnFatal)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() error { return b.Stop(context.Background()) })
+		return b
+	}
+	next := func(state string) announcement {
+		GinkgoHelper()
+		for a := range heard {
+			if a.State == state {
+				return a
+			}
+		}
+		return announcement{}
+	}
+	get := func(url string) (int, loadReport) {
+		GinkgoHelper()
+		response, err := http.Get(url)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		var l loadReport
+		Expect(json.NewDecoder(response.Body).Decode(&l)).To(Succeed())
+		return response.StatusCode, l
+	}
+
+	// Guards against a backend server that no entry host learns of, or whose lease runs out.
+	It("announces itself to the next entry host when one refuses, and renews", func() {
+		b := start()
+		a := next(stateReady)
+		Expect(a.Address + a.Service + a.FailureDomain).To(Equal("10.7.0.1deska"))
+		Expect([]any{a.Port, a.Slots, a.Instance}).To(Equal([]any{uint16(8080), 2, "b1"}))
+		next(stateReady)
+		Expect(b.Drain()).To(Succeed())
+		next(stateDraining)
+		next(stateDraining)
+	})
+
+	// Guards against a fake that cannot contradict itself as real backend servers do.
+	It("claims to be ready after it has announced that it drains", func() {
+		b := start()
+		Expect(b.SetFaults(BackendFaults{ClaimReady: true})).To(Succeed())
+		Expect(b.Drain()).To(Succeed())
+		next(stateDraining)
+		next(stateReady)
+	})
+
+	// Guards against probes that tell the truth although they are meant to mislead.
+	It("tells its state, or what the fault says", func() {
+		b := start()
+		a := next(stateReady)
+		status, load := get(a.HealthURL)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(load).To(Equal(loadReport{State: stateReady, Slots: 2}))
+		Expect(b.SetFaults(BackendFaults{Probe: ProbeFrozen})).To(Succeed())
+		Expect(b.Drain()).To(Succeed())
+		_, load = get(a.LoadURL)
+		Expect(load.State).To(Equal(stateReady))
+		Expect(b.SetFaults(BackendFaults{})).To(Succeed())
+		status, load = get(a.HealthURL)
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(load.State).To(Equal(stateDraining))
+		Expect(b.SetFaults(BackendFaults{Probe: ProbeLies})).To(Succeed())
+		status, _ = get(a.HealthURL)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(b.SetFaults(BackendFaults{Probe: ProbeFails})).To(Succeed())
+		response, err := http.Get(a.LoadURL)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusInternalServerError))
+	})
+})
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -36,9 +36,10 @@
 	Service   string         // name that answers must carry
 	Target    netip.AddrPort // service address
 
-	Connections           int     // open at once
-	OpenPerSecond         float64 // pace of the first opening
-	RequestsPerConnection int     // after which a connection is closed and opened again; 0 keeps it open
+	Connections           int           // open at once
+	OpenAfter             time.Duration // until the first connection is opened
+	OpenPerSecond         float64       // pace of the first opening
+	RequestsPerConnection int           // after which a connection is closed and opened again; 0 keeps it open
 	Pause                 time.Duration
 	Work                  time.Duration // mean time that a request occupies a slot
 	BodySize              int
@@ -130,9 +131,9 @@
 	for i := range c.config.Connections {
 		conn := &callerConn{state: s, address: c.config.Addresses[i%len(c.config.Addresses)]}
 		s.conns = append(s.conns, conn)
-		at := time.Duration(0)
+		at := c.config.OpenAfter
 		if c.config.OpenPerSecond > 0 {
-			at = time.Duration(float64(i) / c.config.OpenPerSecond * float64(time.Second))
+			at += time.Duration(float64(i) / c.config.OpenPerSecond * float64(time.Second))
 		}
 		conn.wakeAt(at)
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -171,6 +171,9 @@
 	var found []string
 	for i := range r.Services {
 		s := &r.Services[i]
+		if s.Answered == 0 {
+			found = append(found, s.Service+": no request was answered")
+		}
 		for _, v := range []struct {
 			count uint64
 			what  string
