--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -72,12 +72,9 @@
 
 // NewFabric opens the fabric's socket. Start starts its duties.
 func NewFabric(config FabricConfig, log *slog.Logger, onFatal func(error)) (*Fabric, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	conn, err := listenUDP(config.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("open fabric socket: %w", err)
-	}
-	if err := errors.Join(conn.SetReadBuffer(udpBuffer), conn.SetWriteBuffer(udpBuffer)); err != nil {
-		return nil, errors.Join(fmt.Errorf("size buffers of the fabric socket: %w", err), conn.Close())
+		return nil, fmt.Errorf("fabric: %w", err)
 	}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
