--- a/internal/lab/action.go
+++ b/internal/lab/action.go
@@ -51,8 +51,9 @@
 		p.restarting = true
 		return p.instance.Leave()
 	case "crash":
-		return c.end(p)
+		return c.crash(p)
 	case "silence":
+		c.excused[p.config.Service]++
 		_, err := p.instance.SilenceOne()
 		return err
 	default:
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -68,6 +68,9 @@
 	timeline []Timed // that is not done yet, by time
 	past     []BackendReport
 	failures []error // of timed actions
+	// excused counts, by service, the connections that crashed or silenced backend
+	// servers have broken, which no load balancer can save.
+	excused map[string]int
 }
 
 // Start opens the fabric and starts the backend servers and callers.
@@ -83,7 +86,7 @@
 		now:   func() time.Duration { return time.Since(start) },
 	}
 	l.group = duty.NewGroup(log, handlerLimit, l.now, onFatal)
-	l.state = &conductor{lab: l, places: map[string]*place{}, timeline: sortedByTime(config.Timeline)}
+	l.state = &conductor{lab: l, places: map[string]*place{}, excused: map[string]int{}, timeline: sortedByTime(config.Timeline)}
 	fabric.Start()
 	if err := l.startAll(); err != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
@@ -250,6 +253,15 @@
 	return nil
 }
 
+// crash ends the instance of a place without a packet to its callers.
+func (c *conductor) crash(p *place) error {
+	if err := c.end(p); err != nil {
+		return err
+	}
+	c.excused[p.config.Service] += c.past[len(c.past)-1].Open
+	return nil
+}
+
 // end stops the instance of a place and keeps its account.
 func (c *conductor) end(p *place) error {
 	report, err := p.instance.Report()
