lab: forward packets between entry hosts through fronts

Cause: entry hosts send hand-offs to each other directly, so cut or lossy links between failure domains did not affect them. Change: the fabric can listen at a front of each entry host and forwards what arrives there with the link between the two failure domains.

--- a/cmd/cassiawood-lab/options.go
+++ b/cmd/cassiawood-lab/options.go
@@ -67,13 +67,9 @@
 }
 
 func (f *demoFlags) defineLists(set *flag.FlagSet) {
-	set.Func("entry", "entry host `NAME,DOMAIN,ADDRESS:PORT` with its Geneve address; repeat for each", func(text string) error {
-		fields := strings.Split(text, ",")
-		if len(fields) != 3 {
-			return errors.New("want NAME,DOMAIN,ADDRESS:PORT")
-		}
-		addr, err := netip.ParseAddrPort(fields[2])
-		f.entries = append(f.entries, lab.EntryHost{Name: fields[0], Domain: fields[1], Addr: addr})
+	set.Func("entry", "entry host `NAME,DOMAIN,ADDRESS:PORT[,FRONT:PORT]` with its Geneve address, and the address at which the fabric takes other entry hosts' packets for it; repeat for each", func(text string) error {
+		e, err := parseEntryHost(text)
+		f.entries = append(f.entries, e)
 		return err
 	})
 	set.Func("service", "service `NAME,ADDRESS:PORT`; repeat for each", func(text string) error {
@@ -93,6 +89,20 @@
 	})
 }
 
+func parseEntryHost(text string) (lab.EntryHost, error) {
+	fields := strings.Split(text, ",")
+	if len(fields) != 3 && len(fields) != 4 {
+		return lab.EntryHost{}, errors.New("want NAME,DOMAIN,ADDRESS:PORT[,FRONT:PORT]")
+	}
+	e := lab.EntryHost{Name: fields[0], Domain: fields[1]}
+	var err error
+	if e.Addr, err = netip.ParseAddrPort(fields[2]); err != nil || len(fields) == 3 {
+		return e, err
+	}
+	e.Front, err = netip.ParseAddrPort(fields[3])
+	return e, err
+}
+
 func (f *demoFlags) defineValues(set *flag.FlagSet) {
 	set.StringVar(&f.fabric, "fabric", "127.0.0.1:6081", "`address` of the fabric, to which entry hosts send")
 	set.StringVar(&f.probes, "probes", "127.0.0.1:0", "listening `address` of each backend server's health and load endpoints")
--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -52,12 +52,14 @@
 	inner  []byte
 	stack  *attachment    // the packet's sender, if it is a stack
 	source netip.AddrPort // the packet's sender, if it is an entry host
+	target netip.AddrPort // the entry host whose front received the packet, if one did
 	change func(n *network)
 }
 
 // Fabric carries the packets between stacks and entry hosts.
 type Fabric struct {
 	conn     *net.UDPConn
+	fronts   []*net.UDPConn
 	packets  *ipv4.PacketConn
 	inbox    *ring.Ring[fabricEvent]
 	toEntry  *ring.Ring[delivery]
@@ -89,12 +91,20 @@
 		now:     now,
 		header:  packet.AppendGeneve(nil, vni, nil),
 	}
-	f.group.Add(duty.Duty{Name: "fabric-reader", Run: f.read})
+	f.group.Add(duty.Duty{Name: "fabric-reader", Run: f.reader(f.packets, f.takeGeneve)})
 	f.group.Add(duty.FromRing("fabric-scheduler", f.inbox, f.schedule))
 	f.group.Add(duty.Duty{Name: "fabric-writer", Run: f.write})
 	f.group.Add(duty.FromRing("fabric-injector", f.toStack, f.injectOne))
 	f.group.Add(tickDuty("fabric-clock", tickInterval, &f.ticking, func() { _, _ = f.inbox.Put(fabricEvent{}) }))
-	f.group.Add(closeDuty("fabric-closer", f.inbox.Close, f.toEntry.Close, f.toStack.Close, func() { _ = conn.Close() }))
+	f.group.Add(closeDuty("fabric-closer", f.inbox.Close, f.toEntry.Close, f.toStack.Close, func() { _ = f.closeSockets() }))
+	for _, e := range config.EntryHosts {
+		if !e.Front.IsValid() {
+			continue
+		}
+		if err := f.addFront(e); err != nil {
+			return nil, errors.Join(err, f.closeSockets())
+		}
+	}
 	return f, nil
 }
 
@@ -216,6 +226,8 @@
 		e.change(f.network)
 	case e.stack != nil:
 		f.network.fromStack(e.stack, e.inner, now)
+	case e.target.IsValid():
+		f.network.betweenEntries(e.source, e.target, e.inner, now)
 	case e.source.IsValid():
 		f.network.fromEntry(e.source, e.inner, now)
 	default:
@@ -241,33 +253,57 @@
 	return nil
 }
 
-// read takes the entry hosts' packets from the socket.
-func (f *Fabric) read(ctx context.Context, progress *duty.Progress) error {
-	messages := newMessages(batchSize)
-	for {
-		n, err := f.packets.ReadBatch(messages, 0)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+// reader returns the duty that takes the entry hosts' packets from a socket.
+func (f *Fabric) reader(packets *ipv4.PacketConn, take func(datagram []byte, source netip.AddrPort)) func(context.Context, *duty.Progress) error {
+	return func(ctx context.Context, progress *duty.Progress) error {
+		messages := newMessages(batchSize)
+		for {
+			n, err := packets.ReadBatch(messages, 0)
+			if err != nil {
+				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+					return nil
+				}
+				return fmt.Errorf("read from fabric socket: %w", err)
 			}
-			return fmt.Errorf("read from fabric socket: %w", err)
-		}
-		progress.Begin()
-		for i := range n {
-			f.readOne(messages[i].Buffers[0][:messages[i].N], messages[i].Addr)
+			progress.Begin()
+			for i := range n {
+				take(messages[i].Buffers[0][:messages[i].N], unmapped(messages[i].Addr))
+			}
+			progress.End()
 		}
-		progress.End()
 	}
 }
 
-func (f *Fabric) readOne(datagram []byte, source net.Addr) {
+// takeGeneve passes the inner packet of a datagram to the scheduling duty.
+func (f *Fabric) takeGeneve(datagram []byte, source netip.AddrPort) {
 	var g packet.Geneve
 	if packet.DecodeGeneve(datagram, &g) != nil {
 		f.readLoss.Add(1)
 		return
 	}
-	event := fabricEvent{inner: append([]byte(nil), g.Inner...), source: unmapped(source)}
-	_, _ = f.inbox.Put(event)
+	_, _ = f.inbox.Put(fabricEvent{inner: append([]byte(nil), g.Inner...), source: source})
+}
+
+// addFront opens the front of an entry host and adds the duty that reads it.
+func (f *Fabric) addFront(e EntryHost) error {
+	conn, err := listenUDP(e.Front)
+	if err != nil {
+		return fmt.Errorf("front of entry host %s: %w", e.Name, err)
+	}
+	f.fronts = append(f.fronts, conn)
+	f.group.Add(duty.Duty{Name: "fabric-front-" + e.Name, Run: f.reader(ipv4.NewPacketConn(conn), func(datagram []byte, source netip.AddrPort) {
+		_, _ = f.inbox.Put(fabricEvent{inner: append([]byte(nil), datagram...), source: source, target: e.Addr})
+	})})
+	return nil
+}
+
+// closeSockets ends the duties that read.
+func (f *Fabric) closeSockets() error {
+	failures := f.conn.Close()
+	for _, front := range f.fronts {
+		failures = errors.Join(failures, front.Close())
+	}
+	return failures
 }
 
 // write sends packets to the entry hosts.
@@ -282,6 +318,9 @@
 		progress.Begin()
 		for i, d := range batch[:n] {
 			messages[i].Buffers = [][]byte{f.header, d.inner}
+			if d.raw {
+				messages[i].Buffers = [][]byte{d.inner}
+			}
 			messages[i].Addr = net.UDPAddrFromAddrPort(d.toEntry)
 		}
 		err = writeAll(f.packets, messages[:n])
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -153,6 +153,27 @@
 		Expect(finish(l).Violations()).To(BeEmpty())
 	})
 
+	// Guards against a front that loses or changes what entry hosts send to each other.
+	It("forwards packets between entry hosts through a front", func() {
+		site := newSite(2, 1, 1)
+		probe, err := listenUDP(loopback0) // reserves a free port for the front
+		Expect(err).NotTo(HaveOccurred())
+		front := unmapped(probe.LocalAddr())
+		Expect(probe.Close()).To(Succeed())
+		site.config.Fabric.EntryHosts[1].Front = front
+		l, err := Start(site.config, discard, failOnFatal)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = site.hosts[0].conn.WriteToUDPAddrPort([]byte("hand-off"), front)
+		Expect(err).NotTo(HaveOccurred())
+		buffer := make([]byte, maxDatagram)
+		for got := ""; got != "hand-off"; { // packets of callers arrive as well
+			n, _, err := site.hosts[1].conn.ReadFromUDPAddrPort(buffer)
+			Expect(err).NotTo(HaveOccurred())
+			got = string(buffer[:n])
+		}
+		Expect(l.Stop(context.Background())).To(Succeed())
+	})
+
 	It("refuses callers without an address", func() {
 		site := newSite(1, 1, 1)
 		site.config.Callers[0].Addresses = []netip.Addr{}
--- a/internal/lab/network.go
+++ b/internal/lab/network.go
@@ -14,6 +14,10 @@
 	Name   string
 	Domain string
 	Addr   netip.AddrPort // Geneve
+	// Front is an address of the fabric that forwards the Geneve packets of other
+	// entry hosts to Addr, if it is valid. With it as the host's published
+	// address, the faults of links apply to packets between entry hosts too.
+	Front netip.AddrPort
 }
 
 // Link is the quality of the path between two failure domains, in one direction.
@@ -29,6 +33,7 @@
 // FabricStats counts the packets of the fabric.
 type FabricStats struct {
 	FromStacks, ToEntryHosts, FromEntryHosts, ToStacks uint64
+	BetweenEntryHosts                                  uint64 // through fronts
 	Lost, CutOff, Duplicated, Reordered, Silenced      uint64
 	NoEntryHost                                        uint64 // every entry host was out of the spray
 	UnknownSource                                      uint64 // from an address that is no entry host
@@ -50,7 +55,8 @@
 	order   uint64 // breaks ties, so that a run is reproducible
 	toEntry netip.AddrPort
 	toStack *attachment // nil if the packet goes to an entry host
-	inner   []byte
+	inner   []byte      // inner packet, or a whole datagram if it is raw
+	raw     bool        // from another entry host, forwarded as it is
 }
 
 type sprayTarget struct {
@@ -163,6 +169,19 @@
 	n.plan(delivery{toStack: a, inner: inner}, linkKey{n.entries[i].Domain, a.domain}, now)
 }
 
+// betweenEntries takes a datagram that an entry host has sent to another one's front.
+func (n *network) betweenEntries(source, target netip.AddrPort, datagram []byte, now time.Duration) {
+	n.stats.BetweenEntryHosts++
+	from, known := n.bySource[source]
+	to, ok := n.bySource[target]
+	if !known || !ok {
+		n.stats.UnknownSource++
+		return
+	}
+	key := linkKey{n.entries[from].Domain, n.entries[to].Domain}
+	n.plan(delivery{toEntry: target, inner: datagram, raw: true}, key, now)
+}
+
 func (n *network) isDetached(a *attachment) bool {
 	return len(a.addresses) > 0 && n.stacks[a.addresses[0]] != a
 }
--- a/internal/lab/network_test.go
+++ b/internal/lab/network_test.go
@@ -84,6 +84,22 @@
 		}
 	})
 
+	// Guards against a partition that hand-offs between entry hosts pass.
+	It("applies the faults of links to packets between entry hosts", func() {
+		n := newNetwork(1, hosts, Link{}, Link{})
+		n.betweenEntries(hosts[0].Addr, hosts[1].Addr, []byte("hand-off"), 0)
+		d, ok := n.due(0)
+		Expect(ok).To(BeTrue())
+		Expect(d.toEntry).To(Equal(hosts[1].Addr))
+		Expect(d.raw).To(BeTrue())
+		Expect(CutLink{A: "a", B: "b", Cut: true}.apply(n)).To(Succeed())
+		n.betweenEntries(hosts[0].Addr, hosts[1].Addr, []byte("hand-off"), 0)
+		n.betweenEntries(caller, hosts[1].Addr, []byte("hand-off"), 0)
+		_, ok = n.due(0)
+		Expect(ok).To(BeFalse())
+		Expect([]uint64{n.stats.CutOff, n.stats.UnknownSource}).To(HaveEach(BeEquivalentTo(1)))
+	})
+
 	// Guards against a fault that leaks to other links or flows, or that stays after it was taken back.
 	It("cuts, silences and detaches only what it is told to", func() {
 		n := newNetwork(1, hosts, Link{}, Link{})
