--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -36,14 +36,16 @@
 	Service   string         // name that answers must carry
 	Target    netip.AddrPort // service address
 
-	Connections           int     // open at once
-	OpenPerSecond         float64 // pace of the first opening
-	RequestsPerConnection int     // after which a connection is closed and opened again; 0 keeps it open
+	Connections           int           // open at once
+	OpenAfter             time.Duration // until the first connection is opened
+	OpenPerSecond         float64       // pace of the first opening
+	RequestsPerConnection int           // after which a connection is closed and opened again; 0 keeps it open
 	Pause                 time.Duration
 	Work                  time.Duration // mean time that a request occupies a slot
 	BodySize              int
 	IdempotentShare       float64
-	Retries               int // of an idempotent request with unknown outcome
+	Retries               int           // of an idempotent request with unknown outcome
+	Patience              time.Duration // after which a caller gives up a request and its connection; 0 waits for ever
 	Seed                  uint64
 }
 
@@ -55,6 +57,7 @@
 	ClosedByServer               uint64 // ended in order without a request in progress
 	Sent, Answered, Refused      uint64
 	Unknown                      uint64 // requests whose connection broke before the answer
+	GaveUp                       uint64 // requests that got no answer within the patience
 	Retried                      uint64
 	Misrouted                    uint64 // responses of another service
 	Foreign                      uint64 // responses that do not belong to the connection's request
@@ -128,9 +131,9 @@
 	for i := range c.config.Connections {
 		conn := &callerConn{state: s, address: c.config.Addresses[i%len(c.config.Addresses)]}
 		s.conns = append(s.conns, conn)
-		at := time.Duration(0)
+		at := c.config.OpenAfter
 		if c.config.OpenPerSecond > 0 {
-			at = time.Duration(float64(i) / c.config.OpenPerSecond * float64(time.Second))
+			at += time.Duration(float64(i) / c.config.OpenPerSecond * float64(time.Second))
 		}
 		conn.wakeAt(at)
 	}
