--- a/internal/flow/observe.go
+++ b/internal/flow/observe.go
@@ -27,6 +27,7 @@
 
 // touchCaller notes a packet from the caller.
 func (e *Engine) touchCaller(q *query, en *entry) {
+	last := en.fromCaller
 	en.fromCaller = e.clock
 	if q.p.Protocol != ProtocolTCP {
 		return
@@ -41,13 +42,13 @@
 	if q.p.Flags&ACK != 0 {
 		en.ack = q.p.Ack
 	}
-	// Pure acknowledgements, and so idle flows with keepalive from the backend server,
-	// expect no answer.
-	if q.p.PayloadLen == 0 && q.p.Flags&(SYN|FIN) == 0 {
+	// Pure acknowledgements expect no answer, and a first packet without one is no
+	// silent connection.
+	if q.p.PayloadLen == 0 && q.p.Flags&FIN == 0 {
 		return
 	}
-	if en.callerPackets == 0 {
-		en.callerSince = e.clock
+	if en.callerPackets == 0 || e.clock.since(last) > callerGap {
+		en.callerPackets, en.callerSince = 0, e.clock
 	}
 	if en.callerPackets < 1<<16-1 {
 		en.callerPackets++
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -83,6 +83,7 @@
 	began         stamp
 	fromCaller    stamp // last packet
 	fromBackend   stamp
+	suspected     stamp  // last report as a suspect
 	callerSince   stamp  // first caller packet after the last one from the backend server
 	mark          stamp  // record: time of closing; hint: time of the question
 	epoch         uint16 // hint: valid only in this epoch
