Join hosts reliably and accept changes only with all failure domains declared

(1) An entry host that met a control host before the election proposed its joining once, the proposal expired and it was never repeated: 5 of 6 hosts never joined. (2) A change was accepted while no failure domain had joined ('in force in a' only). (3) Records carried by a hand-off lacked caller and service, so the second holder dropped every new flow of a tracked bucket (reason service-changed, sheet-print opened 0 of 200 connections). Change: a control host that is not the leader names the leader with each answer, and joining is repeated until the directory lists the host; the leader declares the failure domains of its settings and refuses changes before; the entry host completes the record from the inner packet. scripts/demo.sh runs the whole site.

--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	PATH="$(CURDIR)/bin/tools:$$PATH" protoc -I internal/wire --go_out=. --go_opt=module=cassiawood internal/wire/cassiawood.proto
 
 demo: build
-	bin/cassiawood-lab demo
+	scripts/demo.sh
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"cassiawood/internal/audit"
@@ -25,6 +26,8 @@
 	// confirms contact. It is the shortest election timeout, so that no
 	// host counts on a leader that may have been replaced.
 	contactAge = changelog.DefaultElectionMin
+	// declareInterval covers the commit of a proposal.
+	declareInterval = time.Second
 )
 
 // applyEvent is a value in the inbox of the apply duty.
@@ -97,6 +100,7 @@
 	followers map[*ring.Ring[*wirepb.Envelope]]*follower
 	confirmed map[string]confirmation  // by host
 	waiting   map[string][]waiter      // by change ID
+	declared  time.Duration            // when a failure domain of the settings was proposed last
 	changes   []telemetry.ChangeStatus // newest first, for the status page
 	now       time.Duration
 }
@@ -127,12 +131,34 @@
 
 func (d *applyDuty) tick() {
 	d.step(member.Tick{})
+	d.declareDomains()
 	for out, f := range d.followers {
 		d.serve(out, f)
 	}
 	d.expireWaiting()
 }
 
+// declareDomains puts the failure domains of the settings into the directory, so
+// that a change waits for a domain whose hosts have not joined yet.
+func (d *applyDuty) declareDomains() {
+	if !d.leases.Leading() || d.now-d.declared < declareInterval {
+		return
+	}
+	for _, domain := range d.undeclared() {
+		d.declared = d.now
+		d.propose(directory.DomainService{Domain: domain, Author: "settings"})
+	}
+}
+
+// undeclared returns the failure domains of the settings that the directory
+// does not have.
+func (d *applyDuty) undeclared() []string {
+	known := d.state.DomainsInService()
+	return slices.DeleteFunc(slices.Clone(d.domains), func(domain string) bool {
+		return slices.Contains(known, domain) || d.state.DomainOut(domain)
+	})
+}
+
 // committed applies entries in order.
 func (d *applyDuty) committed(e applyCommitted) error {
 	if e.snapshot != nil {
@@ -235,6 +261,9 @@
 
 func (d *applyDuty) sendBatch(out *ring.Ring[*wirepb.Envelope], f *follower, echoNs int64) {
 	batch := &wirepb.EntryBatch{Committed: d.state.Index(), EchoNs: echoNs, LeaderContact: d.hasQuorum()}
+	if !d.leases.Leading() {
+		batch.Leader = d.addresses[d.status.Leader]
+	}
 	if f.next >= d.windowStart() && f.next <= d.state.Index() {
 		batch.Entries = d.window[f.next-d.windowStart():]
 	}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -111,24 +111,24 @@
 	if !d.hasQuorum() {
 		return &operator.NoQuorum{Reason: "the other control hosts do not answer"}
 	}
+	if len(d.undeclared()) > 0 {
+		return &operator.NoQuorum{Reason: "the failure domains of the settings are being declared; try again"}
+	}
 	return nil
 }
 
 // prepare checks the text together with all other sections.
 func (d *applyDuty) prepare(change operator.Change) (directory.ChangePrepared, error) {
-	section := document.Section{Heading: change.Section, Team: change.Team, Text: change.Text, Version: change.Base}
-	services, findings := document.Parse(section)
-	sections := []document.Section{section}
+	var sections []document.Section
 	for _, s := range d.state.Sections() {
-		if s.Heading != change.Section {
-			sections = append(sections, s.Section)
-		}
-	}
-	if len(findings) == 0 {
-		findings = document.CheckTogether(sections)
+		sections = append(sections, s.Section)
 	}
+	changed := document.Section{Heading: change.Section, Team: change.Team, Text: change.Text, Version: change.Base}
+	services, findings := document.CheckChange(sections, changed)
 	if len(findings) > 0 {
-		return directory.ChangePrepared{}, &operator.Refused{Reason: "The text has problems; nothing was changed.", Findings: findings}
+		return directory.ChangePrepared{}, &operator.Refused{
+			Reason: "The text has problems; nothing was changed.", Findings: findings,
+		}
 	}
 	return directory.ChangePrepared{
 		ChangeID: change.ID, Team: change.Team, Author: change.Author, Section: change.Section,
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -108,7 +108,16 @@
 
 // Hosts returns the entry hosts and the control hosts.
 func (b operatorBackend) Hosts(context.Context) ([]operator.Host, error) {
-	return ask(b, func(d *applyDuty) ([]operator.Host, error) { return d.hostViews(), nil })
+	return ask(b, func(d *applyDuty) ([]operator.Host, error) { return d.hostViews(), d.referToLeader() })
+}
+
+// referToLeader sends questions about contact to the leader, which alone hears from
+// every entry host. Without a leader, this host answers as well as it can.
+func (d *applyDuty) referToLeader() error {
+	if d.leases.Leading() || d.status.Leader == 0 {
+		return nil
+	}
+	return &operator.NotLeader{Leader: d.operators[d.status.Leader]}
 }
 
 func (d *applyDuty) hostViews() []operator.Host {
@@ -142,7 +151,7 @@
 		for _, domain := range d.domains {
 			views = append(views, d.domainView(domain))
 		}
-		return views, nil
+		return views, d.referToLeader()
 	})
 }
 
--- a/internal/directory/hosts.go
+++ b/internal/directory/hosts.go
@@ -51,8 +51,10 @@
 	return Outcome{Applied: true}
 }
 
+// setDomainService also takes a failure domain into service before any of its
+// hosts has joined, so that a change waits for it.
 func (s *State) setDomainService(c DomainService) Outcome {
-	if _, known := s.domains[c.Domain]; !known {
+	if _, known := s.domains[c.Domain]; !known && c.Out {
 		return refuse("no host has announced failure domain %q", c.Domain)
 	}
 	s.domains[c.Domain] = c.Out
--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -20,6 +20,10 @@
 	maxProposals    = 1024
 	// appliedInterval renews the host lease of 2 s, with room for two lost answers.
 	appliedInterval = 500 * time.Millisecond
+	// joinInterval is when joining is tried again; the leader ignores a repetition.
+	joinInterval = time.Second
+	// redialAfter is how long an address that was not reached is left alone.
+	redialAfter = 5 * time.Second
 )
 
 // errNoLeader is the answer to a proposal that no leader took in time.
@@ -31,12 +35,17 @@
 type (
 	controlTick struct{ now time.Duration }
 	// controlApplied tells what the engine has applied and what it may acknowledge.
-	controlApplied struct{ applied, acknowledge uint64 }
+	controlApplied struct {
+		applied, acknowledge uint64
+		listed               bool // the directory lists this incarnation of the host
+	}
 	// controlPropose passes a proposal to the leader; result gets exactly one value.
 	controlPropose struct {
 		request *wirepb.ProposeRequest
 		result  *ring.Ring[proposalResult]
 	}
+	// controlRedirect names the leader, as told by a control host that is not it.
+	controlRedirect struct{ leader string }
 	// controlGap asks to be served anew from the applied index.
 	controlGap struct{}
 	// controlComplete tells that all copies of records that this host should hold are confirmed.
@@ -58,6 +67,7 @@
 func (controlTick) isControlEvent()     {}
 func (controlApplied) isControlEvent()  {}
 func (controlPropose) isControlEvent()  {}
+func (controlRedirect) isControlEvent() {}
 func (controlGap) isControlEvent()      {}
 func (controlComplete) isControlEvent() {}
 func (controlProbe) isControlEvent()    {}
@@ -93,6 +103,10 @@
 	stream       *wire.Stream
 	next         int // index of the address to dial next
 	stopping     bool
+	listed       bool
+	lastJoin     time.Duration
+	unreachable  string // address that was not reached last
+	failedAt     time.Duration
 	leader       string // address named by a control host; dialled first
 	applied      uint64
 	acknowledged uint64
@@ -121,17 +135,24 @@
 		l.expire()
 		if l.session == nil {
 			l.connect(ctx)
-		} else if l.now-l.lastApplied >= appliedInterval {
+			return
+		}
+		if l.now-l.lastApplied >= appliedInterval {
 			l.sendApplied()
 		}
+		if (!l.listed || l.stopping) && l.now-l.lastJoin >= joinInterval {
+			l.join()
+		}
 	case controlApplied:
-		l.applied = max(l.applied, e.applied)
+		l.applied, l.listed = max(l.applied, e.applied), e.listed
 		if e.acknowledge > l.acknowledged {
 			l.acknowledged = e.acknowledge
 			l.sendApplied()
 		}
 	case controlPropose:
 		l.propose(e)
+	case controlRedirect:
+		l.redirect(e.leader)
 	case controlGap:
 		l.disconnect()
 	case controlComplete:
@@ -162,6 +183,7 @@
 	l.leader = ""
 	session, err := wire.Dial(ctx, address, l.tls)
 	if err != nil {
+		l.unreachable, l.failedAt = address, l.now
 		l.log.Warn("control host not reached", "address", address, "error", err)
 		return
 	}
@@ -183,9 +205,20 @@
 	}
 }
 
+// redirect moves to the leader, unless it was not reached a moment ago: a host
+// that is cut off from the leader alone follows another control host meanwhile.
+func (l *controlLink) redirect(leader string) {
+	if leader == l.unreachable && l.now-l.failedAt < redialAfter {
+		return
+	}
+	l.leader = leader
+	l.disconnect()
+}
+
 // join announces this incarnation of the host, or repeats that it stops; the
 // leader ignores a repetition.
 func (l *controlLink) join() {
+	l.lastJoin = l.now
 	if l.stopping {
 		l.tell(&wirepb.ProposeRequest{Body: &wirepb.ProposeRequest_HostStopping{HostStopping: l.ref()}})
 		return
@@ -247,9 +280,8 @@
 		return
 	}
 	if leader := reply.GetLeader(); leader != "" {
-		// Not the leader: the proposal stays pending and goes out again with the new session.
-		l.leader = leader
-		l.disconnect()
+		// The proposal stays pending and goes out again with the new session.
+		l.redirect(leader)
 		return
 	}
 	delete(l.pending, reply.GetId())
@@ -291,6 +323,11 @@
 func (l *controlLink) dispatch(e *wirepb.Envelope) error {
 	switch body := e.GetBody().(type) {
 	case *wirepb.Envelope_EntryBatch:
+		if leader := body.EntryBatch.GetLeader(); leader != "" {
+			if _, err := l.inbox.Put(controlRedirect{leader: leader}); err != nil {
+				return err
+			}
+		}
 		entries, err := wire.EntriesFromProto(body.EntryBatch.GetEntries())
 		if err != nil {
 			return err
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -218,13 +218,23 @@
 			d.peers.Offer(peerCommand{to: h.Name, message: hello})
 		}
 	}
-	d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge})
-	if self, ok := d.state.Host(d.self.GetName()); ok && self.Incarnation == d.self.GetIncarnation() &&
-		self.State == directory.HostJoined && !d.stopping {
+	d.tellControl()
+	if self, ok := d.listed(); ok && self.State == directory.HostJoined && !d.stopping {
 		d.control.Offer(controlComplete{})
 	}
 }
 
+func (d *engineDuty) tellControl() {
+	_, listed := d.listed()
+	d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge, listed: listed})
+}
+
+// listed returns this incarnation of the host as the directory lists it.
+func (d *engineDuty) listed() (*directory.Host, bool) {
+	self, ok := d.state.Host(d.self.GetName())
+	return self, ok && self.Incarnation == d.self.GetIncarnation()
+}
+
 func (d *engineDuty) hello(now time.Duration, e enginePeerHello) {
 	known, ok := d.heard[e.host]
 	if !ok || !known.up || known.incarnation != e.incarnation {
@@ -261,7 +271,7 @@
 	}
 	if effects.Acknowledge != d.acknowledge {
 		d.acknowledge = effects.Acknowledge
-		d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge})
+		d.tellControl()
 	}
 	if effects.RepairComplete {
 		d.log.Info("copies of records are whole")
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -61,6 +61,10 @@
 		return
 	}
 	d.setDirection(&p, &h)
+	if p.Handoff.HasRecord {
+		// The option does not repeat what the inner packet says.
+		p.Handoff.Record.Caller, p.Handoff.Record.Service, p.Handoff.Record.Protocol = p.Caller, p.Service, p.Protocol
+	}
 	verdict := d.flow.Packet(now, &p)
 	d.carryOut(s, &h, &verdict)
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -53,7 +53,9 @@
 func batchToProto(b *flow.RecordBatch) *wirepb.RecordBatch {
 	out := &wirepb.RecordBatch{Id: b.ID, TableIndex: b.TableIndex, Request: b.Request}
 	for _, h := range b.Holdings {
-		out.Holdings = append(out.Holdings, &wirepb.Holding{Service: h.Service, Bucket: h.Bucket, Home: uint32(h.Home)})
+		out.Holdings = append(out.Holdings, &wirepb.Holding{
+			Service: h.Service, Bucket: h.Bucket, Home: uint32(h.Home), Whole: h.Whole,
+		})
 	}
 	for i := range b.Records {
 		out.Records = append(out.Records, recordToProto(&b.Records[i]))
@@ -66,6 +68,7 @@
 	for _, h := range p.GetHoldings() {
 		b.Holdings = append(b.Holdings, flow.HoldingRef{
 			Service: h.GetService(), Bucket: h.GetBucket(), Home: flow.DomainID(h.GetHome()),
+			Whole: h.GetWhole(),
 		})
 	}
 	for _, r := range p.GetRecords() {
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# Runs a whole site on loopback: 3 control hosts, 6 entry hosts in 3 failure
+# domains, and the lab's fabric, backend servers and callers. Arguments go to
+# "cassiawood-lab demo". Ends every process that it started, by its id.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+logs=data/logs
+rm -rf data/control-* "$logs"
+mkdir -p "$logs"
+if [ ! -f data/keys/tokens.json ]; then
+  bin/cassiawood keys -out data/keys -hosts 127.0.9.1:7443,127.0.9.2:7443,127.0.9.3:7443 \
+    -teams shop,print-room,site >"$logs/keys.log"
+  ln -s "$(cd data/keys && ls tokens-*.json | tail -1)" data/keys/tokens.json
+fi
+
+pids=()
+finish() {
+  # Entry hosts first: their planned stop needs the control hosts.
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+}
+trap finish EXIT
+
+start() { # binary, name
+  "bin/$1" -settings "examples/demo/$2.json" >"$logs/$2.log" 2>&1 &
+  pids=("$!" "${pids[@]}")
+  echo "$!" >"$logs/$2.pid"
+}
+
+for host in control-1 control-2 control-3; do start cassiawood-control "$host"; done
+entries=()
+for domain in a b c; do
+  for number in 1 2; do
+    start cassiawood-entry "entry-$domain$number"
+    index=$(printf '%d' "'$domain")
+    address="127.0.$((index - 96)).$number"
+    entries+=(-entry "entry-$domain$number,$domain,$address:6081" -announce "http://$address:8080/v1/announce")
+  done
+done
+
+# A save is refused until an entry host of every failure domain has joined.
+for team in shop print-room; do
+  for attempt in $(seq 1 30); do
+    if bin/cassiawood save -keep-file -settings "data/keys/team-$team/cassiawood.json" \
+      "examples/demo/$team.document" >"$logs/save-$team.log" 2>&1; then
+      break
+    fi
+    sleep 0.5
+  done
+  cat "$logs/save-$team.log"
+done
+
+bin/cassiawood-lab demo "${entries[@]}" -service order-desk,10.20.0.1:443 -service sheet-print,10.20.0.2:443 "$@"
