Check flows against the tables of hosts at different indexes

Cause: a new test lets hosts at different indexes place flows and resolves each flow in the tables of all hosts that are not fenced. It showed that a host behind by one entry dropped packets of live flows: in a bucket whose base had expired, and in one that got its first endpoint. A review showed that one service's backend server could end another's by announcing its address. Change: a bucket that waits to be settled has its current endpoint as base, and a bucket without flows has the prepared endpoint as base, so unknown packets go where the flows are. The leader refuses an unknown instance on the address of another service's present endpoint. HostHello and HostStopping say when a host must be fenced; without that, a host that was removed and came back counted on a table that the leader did not wait for.

--- a/internal/directory/edit.go
+++ b/internal/directory/edit.go
@@ -36,6 +36,9 @@
 		if old != nil {
 			next = *old
 		}
+		if current == 0 && len(next.since) == 0 && next.base == next.next {
+			next.base = to // the bucket has no flows, so those without a record will be there
+		}
 		next.next, next.prepared = to, 0
 		return next
 	})
@@ -44,14 +47,14 @@
 // commit ends the prepared step of bucket i.
 func (e *edit) commit(i int) {
 	old, current := *e.t.trail(i), e.t.current[i]
-	if old.next == 0 { // all hosts know that base is gone
+	if old.next == 0 { // all hosts know that all flows are on current
 		e.t.trailOf[i], e.settled = 0, true
 		return
 	}
 	e.t.current[i] = old.next
 	e.put(i, editKey{old: e.t.place(i), current: current}, func() trail {
-		if current == 0 && old.base == 0 && len(old.since) == 0 {
-			return trail{base: old.next} // the bucket never had a flow
+		if current == 0 && len(old.since) == 0 && old.base == old.next {
+			return trail{base: old.next}
 		}
 		since := []EndpointID{old.next}
 		for _, id := range old.since {
@@ -123,18 +126,20 @@
 // simplify returns false for a settled bucket and sets the index of a new prepared step.
 func (e *edit) simplify(tr trail, current EndpointID) (simple trail, tracked bool) {
 	tr = e.mergeRemoved(tr, current)
-	onlyCurrent := len(tr.since) == 0 || len(tr.since) == 1 && tr.since[0] == current
+	if tr.base == 0 && len(tr.since) == 1 && tr.since[0] == current {
+		tr.base = current // the only endpoint that is left
+	}
 	switch {
 	case tr.next != 0:
 		if tr.prepared == 0 {
 			tr.prepared = e.s.index
 		}
-	case tr.base == current && onlyCurrent:
+	case tr.base == current && len(tr.since) == 0:
 		return trail{}, false
-	case tr.base == 0 && onlyCurrent && current != 0:
-		// All flows are on current with records. A host that has not applied this
-		// entry still resets unknown flows as the lost base's, so the bucket is
-		// settled only after every host has acknowledged it.
+	case tr.base == current && len(tr.since) == 1 && tr.since[0] == current:
+		// All flows are on current. A host that has not applied this entry may send
+		// flows without a record elsewhere, so the bucket is settled, and flows are
+		// placed without one, only after every host has acknowledged it.
 		if tr.prepared == 0 {
 			tr.prepared = e.s.index
 		}
--- a/internal/member/endpoints.go
+++ b/internal/member/endpoints.go
@@ -82,7 +82,7 @@
 	}
 	known, ok := l.state.EndpointByInstance(e.Instance)
 	if !ok {
-		return l.checkService(e.Service, a.Token)
+		return l.checkNew(a)
 	}
 	if known.State == directory.Removed {
 		return "the instance was removed; announce it again under a new instance"
@@ -97,12 +97,19 @@
 	return l.checkToken(service, a.Token)
 }
 
-func (l *Leases) checkService(announced, token string) string {
-	service, ok := l.state.ServiceAnnouncedAs(announced)
+// checkNew checks an instance that the directory does not have.
+func (l *Leases) checkNew(a Announced) string {
+	service, ok := l.state.ServiceAnnouncedAs(a.Endpoint.Service)
 	if !ok {
-		return fmt.Sprintf("the document has no service that is announced as %q", announced)
+		return fmt.Sprintf("the document has no service that is announced as %q", a.Endpoint.Service)
 	}
-	return l.checkToken(service, token)
+	// A new instance ends the one before it on its address; only the same
+	// service's backend servers may do that.
+	if other, ok := l.state.EndpointByAddress(a.Endpoint.Address); ok && other.State != directory.Removed && other.Service != service.Name {
+		return fmt.Sprintf("address %s is that of instance %q of service %q until its lease ends",
+			a.Endpoint.Address, other.Instance, other.Service)
+	}
+	return l.checkToken(service, a.Token)
 }
 
 func (l *Leases) checkToken(service *directory.ServiceState, token string) string {
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -61,7 +61,9 @@
 	Token    string
 }
 
-// HostHello is the first message of an entry host on a session.
+// HostHello is the first message of an entry host on a session. A host repeats
+// it and places no flows by its own table until the table lists its incarnation:
+// until then a new leader does not know that it must wait for it.
 type HostHello struct {
 	ID   uint64
 	Host directory.Host
@@ -82,7 +84,8 @@
 	Incarnation uint64
 }
 
-// HostStopping says that a host begins its planned stop.
+// HostStopping says that a host begins its planned stop. The host places no
+// flows by its own table from then on.
 type HostStopping struct {
 	ID          uint64
 	Name        string
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -196,6 +196,24 @@
 		Expect(s.stateOf("desk1")).To(Equal(directory.Removed))
 	})
 
+	// Guards against one service's backend server that ends another's by announcing its address.
+	It("protect the address of another service's endpoint", func() {
+		s := newSim(1, 3, 3)
+		s.apply(directory.ChangePrepared{ChangeID: "p", Team: "t", Section: "Print", Services: []document.Service{
+			{Name: "print", Address: s.endpoint(99, 1).Address, Protocol: document.TCP},
+		}})
+		s.run(time.Second)
+		thief := *s.endpoints[1]
+		thief.Instance, thief.Service = "print1", "print"
+		s.send(member.Announced{ID: 5, Endpoint: thief})
+		Expect(s.replies[5].Reason).To(ContainSubstring(`instance "desk1" of service "desk"`))
+		s.stopAnnouncing("desk1")
+		s.run(7 * time.Second)
+		s.send(member.Announced{ID: 6, Endpoint: thief})
+		s.run(time.Second)
+		Expect(s.replies[6].Accepted).To(BeTrue())
+	})
+
 	// Guards against announcements for a service by someone without its token.
 	It("need the token of the service", func() {
 		s := newSim(1, 1, 0)
--- /dev/null
+++ b/internal/member/tables_test.go
@@ -0,0 +1,133 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/member"
+)
+
+// view is the table at one index as a host that has applied it sees it.
+type view struct {
+	buckets   []directory.Bucket
+	endpoints map[directory.EndpointID]directory.Endpoint
+}
+
+// flow is a flow that a host has placed.
+type flow struct {
+	bucket   int
+	endpoint directory.EndpointID
+	recorded bool
+}
+
+// tables checks that hosts at different indexes send a flow to the same endpoint.
+type tables struct {
+	*sim
+	views map[uint64]view
+	flows map[flow]bool
+}
+
+func watchTables(s *sim) *tables {
+	t := &tables{sim: s, views: map[uint64]view{}, flows: map[flow]bool{}}
+	s.onApply = t.note
+	t.note()
+	return t
+}
+
+func (t *tables) note() {
+	service, _ := t.state.Service("desk")
+	v := view{endpoints: map[directory.EndpointID]directory.Endpoint{}}
+	for i := range service.Buckets() {
+		v.buckets = append(v.buckets, service.Bucket(i))
+	}
+	for _, id := range t.state.Endpoints() {
+		e, _ := t.state.Endpoint(id)
+		v.endpoints[id] = *e
+	}
+	t.views[t.state.Index()] = v
+}
+
+// check lets each host that is not fenced place a flow in each bucket, and then
+// resolve all flows.
+func (t *tables) check() {
+	var in []view
+	for _, h := range t.hosts {
+		if v, ok := t.views[h.applied]; ok && t.places(h) {
+			in = append(in, v)
+		}
+	}
+	for _, v := range in {
+		for i, b := range v.buckets {
+			if e, ok := v.endpoints[b.Current]; ok && e.State == directory.Ready {
+				t.flows[flow{i, b.Current, !b.Settled()}] = true
+			}
+		}
+	}
+	for f := range t.flows {
+		if _, known := t.state.Endpoint(f.endpoint); !known {
+			delete(t.flows, f) // its packets are no longer expected
+			continue
+		}
+		for _, v := range in {
+			if !v.resolves(f) {
+				Fail(fmt.Sprintf("%+v in %+v at %v", f, v.buckets[f.bucket], t.now))
+			}
+		}
+	}
+}
+
+// resolves reports whether the rules of docs/design.md, section 5.2, lead a
+// packet of the flow to its endpoint, or to none when that is removed.
+func (v view) resolves(f flow) bool {
+	b := v.buckets[f.bucket]
+	found := slices.Contains(b.Since, f.endpoint) || b.Next == f.endpoint
+	if b.Base == f.endpoint || f.recorded && found {
+		return true
+	}
+	e, known := v.endpoints[f.endpoint]
+	base, hasBase := v.endpoints[b.Base]
+	return known && e.State == directory.Removed && (!hasBase || base.State == directory.Removed)
+}
+
+// disturb makes one random change or fault.
+func (t *tables) disturb() {
+	h := t.hosts[t.random.IntN(len(t.hosts))]
+	n := t.random.IntN(len(t.endpoints))
+	switch t.random.IntN(9) {
+	case 0:
+		t.endpoints[n].State = directory.Draining
+	case 1, 2: // a restart on the same address
+		t.endpoints[n].Instance, t.endpoints[n].State = fmt.Sprint("desk-", t.now), directory.Ready
+	case 3:
+		h.stuck = !h.stuck
+	case 4:
+		h.cutOff = !h.cutOff
+	case 5:
+		t.changeLeader()
+	case 6:
+		t.leap += directory.TombstoneTime / 2
+	case 7:
+		t.send(member.Probed{Instance: t.endpoints[n].Instance, Passive: true})
+	case 8:
+		t.apply(directory.BucketsMoved{Service: "desk", From: directory.EndpointID(n + 1), To: t.state.Endpoints()[n], Count: 9})
+	}
+}
+
+var _ = Describe("tables of hosts at different indexes", func() {
+	// Guards against a packet that one host sends to another endpoint than the host that placed its flow.
+	It("send a flow to the same endpoint", func() {
+		seeds(func(seed uint64) {
+			t := watchTables(newSim(seed, 3, 6))
+			for range 100 {
+				t.disturb()
+				for range t.random.IntN(30) {
+					t.run(2 * step)
+					t.check()
+				}
+			}
+		})
+	})
+})
