lab: add gates that put links before TCP connections

Cause: cut and slow links between failure domains did not affect the control and peer connections of processes, so the fakes could not partition them. Change: a gate forwards TCP connections to a process with the fabric's links; a cut link holds bytes back and closes nothing. The demo takes -gate.

--- a/cmd/cassiawood-lab/options.go
+++ b/cmd/cassiawood-lab/options.go
@@ -38,6 +38,7 @@
 type demoFlags struct {
 	entries                                            []lab.EntryHost
 	services                                           []demoService
+	gates                                              []lab.GateConfig
 	announce                                           []string
 	timeline                                           []lab.Timed
 	inside, between                                    string
@@ -78,6 +79,16 @@
 		f.services = append(f.services, demoService{name, target})
 		return err
 	})
+	set.Func("gate", "`LISTEN:PORT,TARGET:PORT,DOMAIN`: forwards TCP connections to a process with the links of its failure domain; repeat for each", func(text string) error {
+		fields := strings.Split(text, ",")
+		if len(fields) != 3 {
+			return errors.New("want LISTEN:PORT,TARGET:PORT,DOMAIN")
+		}
+		listen, err1 := netip.ParseAddrPort(fields[0])
+		target, err2 := netip.ParseAddrPort(fields[1])
+		f.gates = append(f.gates, lab.GateConfig{Listen: listen, Target: target, Domain: fields[2]})
+		return errors.Join(err1, err2)
+	})
 	set.Func("announce", "announcement `URL` of an entry host, such as http://127.0.1.1:8080/v1/announce; repeat for each", func(text string) error {
 		f.announce = append(f.announce, text)
 		return nil
@@ -150,6 +161,7 @@
 	}
 	o.lab = lab.Config{
 		Fabric:   lab.FabricConfig{Listen: listen, EntryHosts: f.entries, Inside: inside, Between: between, Seed: f.seed},
+		Gates:    f.gates,
 		Timeline: f.timeline,
 	}
 	for i, s := range f.services {
--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -66,6 +67,7 @@
 	toStack  *ring.Ring[delivery]
 	ticking  atomic.Bool // a tick is in the inbox
 	network  *network    // belongs to the scheduling duty
+	links    atomic.Pointer[linkTable]
 	group    *duty.Group
 	now      func() time.Duration
 	readLoss atomic.Uint64 // datagrams that were no Geneve packets
@@ -91,6 +93,7 @@
 		now:     now,
 		header:  packet.AppendGeneve(nil, vni, nil),
 	}
+	f.publishLinks()
 	f.group.Add(duty.Duty{Name: "fabric-reader", Run: f.reader(f.packets, f.takeGeneve)})
 	f.group.Add(duty.FromRing("fabric-scheduler", f.inbox, f.schedule))
 	f.group.Add(duty.Duty{Name: "fabric-writer", Run: f.write})
@@ -158,7 +161,11 @@
 
 // Apply puts a fault into force; packets that are already on their way are not affected.
 func (f *Fabric) Apply(fault Fault) error {
-	result, err := ask(f, fault.apply)
+	result, err := ask(f, func(n *network) error {
+		err := fault.apply(n)
+		f.publishLinks()
+		return err
+	})
 	return errors.Join(err, result)
 }
 
@@ -170,6 +177,16 @@
 	return stats, err
 }
 
+// publishLinks gives the gates a copy of the links.
+func (f *Fabric) publishLinks() {
+	table := f.network.linkTable
+	table.links = maps.Clone(table.links)
+	f.links.Store(&table)
+}
+
+// link returns the present link from one failure domain to another; any duty may call it.
+func (f *Fabric) link(key linkKey) Link { return f.links.Load().linkFor(key) }
+
 func (f *Fabric) attach(a *attachment) error {
 	_, err := ask(f, func(n *network) bool { n.attach(a); return true })
 	return err
--- /dev/null
+++ b/internal/lab/gate_test.go
@@ -0,0 +1,90 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Gate", func() {
+	var (
+		fabric *Fabric
+		gate   *Gate
+		target *net.TCPListener
+	)
+	BeforeEach(func() {
+		var err error
+		fabric, err = NewFabric(FabricConfig{Listen: loopback0}, discard, failOnFatal)
+		Expect(err).NotTo(HaveOccurred())
+		fabric.Start()
+		DeferCleanup(func() error { return fabric.Stop(context.Background()) })
+		target, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(loopback0))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(target.Close)
+		sources := map[netip.Addr]string{netip.MustParseAddr("127.0.0.2"): "a", netip.MustParseAddr("127.0.0.3"): "b"}
+		config := GateConfig{Listen: loopback0, Target: target.Addr().(*net.TCPAddr).AddrPort(), Domain: "b"}
+		gate, err = StartGate(fabric, config, sources, 1, discard, failOnFatal)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() error { return gate.Stop(context.Background()) })
+	})
+	// dial connects from an address through the gate and returns both ends.
+	dial := func(from string) (near, far net.Conn) {
+		GinkgoHelper()
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		near, err := dialer.Dial("tcp4", gate.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		far, err = target.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		return near, far
+	}
+	send := func(conn net.Conn, text string) {
+		GinkgoHelper()
+		_, err := conn.Write([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	read := func(conn net.Conn, n int) string {
+		GinkgoHelper()
+		b := make([]byte, n)
+		_, err := io.ReadFull(conn, b)
+		Expect(err).NotTo(HaveOccurred())
+		return string(b)
+	}
+
+	// Guards against a partition that control connections pass, or that loses or reorders bytes when it heals.
+	It("holds bytes back while the link is cut, in that failure domain only", func() {
+		near, far := dial("127.0.0.2")
+		send(near, "one")
+		Expect(read(far, 3)).To(Equal("one"))
+		Expect(fabric.Apply(CutLink{A: "a", B: "b", Cut: true})).To(Succeed())
+		send(near, "two")
+		send(far, "back")
+		nearB, farB := dial("127.0.0.3")
+		send(nearB, "other")
+		Expect(read(farB, 5)).To(Equal("other"))
+		// A slow machine cannot fail this: only bytes that pass the cut link can.
+		Expect(far.SetReadDeadline(time.Now().Add(10 * cutPoll))).To(Succeed())
+		_, err := far.Read(make([]byte, 1))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		Expect(far.SetReadDeadline(time.Time{})).To(Succeed())
+		Expect(fabric.Apply(CutLink{A: "a", B: "b"})).To(Succeed())
+		send(near, "three")
+		Expect(read(far, 8)).To(Equal("twothree"))
+		Expect(read(near, 4)).To(Equal("back"))
+	})
+
+	// Guards against a connection that stays open at one end after the other has closed it.
+	It("ends a connection after the bytes of the side that closes it", func() {
+		near, far := dial("127.0.0.2")
+		send(near, "last")
+		Expect(near.Close()).To(Succeed())
+		all, err := io.ReadAll(far)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(all)).To(Equal("last"))
+	})
+})
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	Fabric   FabricConfig
 	Backends []BackendConfig // Instance is also the name in actions
 	Callers  []CallersConfig
+	Gates    []GateConfig
 	Timeline []Timed
 }
 
@@ -42,6 +44,7 @@
 	onFatal func(error)
 	fabric  *Fabric
 	callers []*Callers
+	gates   []*Gate
 	inbox   *ring.Ring[conductorEvent]
 	group   *duty.Group
 	now     func() time.Duration
@@ -101,6 +104,13 @@
 }
 
 func (l *Lab) startAll() error {
+	for i, config := range l.config.Gates {
+		gate, err := StartGate(l.fabric, config, l.config.sources(), l.config.Fabric.Seed+uint64(i), l.log, l.onFatal)
+		if err != nil {
+			return err
+		}
+		l.gates = append(l.gates, gate)
+	}
 	for _, config := range l.config.Backends {
 		p := &place{config: config}
 		l.state.places[config.Instance] = p
@@ -118,6 +128,19 @@
 	return nil
 }
 
+// sources returns the failure domain of each address from which a process may
+// dial: those of entry hosts and of the processes behind gates.
+func (c *Config) sources() map[netip.Addr]string {
+	domains := map[netip.Addr]string{}
+	for _, e := range c.Fabric.EntryHosts {
+		domains[e.Addr.Addr()] = e.Domain
+	}
+	for _, g := range c.Gates {
+		domains[g.Target.Addr()] = g.Domain
+	}
+	return domains
+}
+
 // Fabric returns the fabric of the lab.
 func (l *Lab) Fabric() *Fabric { return l.fabric }
 
@@ -177,6 +200,9 @@
 			failures = errors.Join(failures, p.instance.Stop(ctx))
 		}
 	}
+	for _, g := range l.gates {
+		failures = errors.Join(failures, g.Stop(ctx))
+	}
 	return errors.Join(failures, l.fabric.Stop(ctx))
 }
 
--- a/internal/lab/network.go
+++ b/internal/lab/network.go
@@ -66,6 +66,23 @@
 
 type linkKey struct{ from, to string }
 
+// linkTable says how good each link is.
+type linkTable struct {
+	inside  Link // within a failure domain
+	between Link // between failure domains
+	links   map[linkKey]Link
+}
+
+func (t *linkTable) linkFor(key linkKey) Link {
+	if l, ok := t.links[key]; ok {
+		return l
+	}
+	if key.from == key.to {
+		return t.inside
+	}
+	return t.between
+}
+
 // flowPair is one connection as the backend server's side sees it.
 type flowPair struct{ backend, caller netip.AddrPort }
 
@@ -76,26 +93,22 @@
 	entries  []sprayTarget
 	bySource map[netip.AddrPort]int // index in entries
 	stacks   map[netip.Addr]*attachment
-	inside   Link // within a failure domain
-	between  Link // between failure domains
-	links    map[linkKey]Link
-	lastDue  map[linkKey]time.Duration
-	silent   map[flowPair]bool
-	pending  deliveries
-	order    uint64
-	stats    FabricStats
+	linkTable
+	lastDue map[linkKey]time.Duration
+	silent  map[flowPair]bool
+	pending deliveries
+	order   uint64
+	stats   FabricStats
 }
 
 func newNetwork(seed uint64, entries []EntryHost, inside, between Link) *network {
 	n := &network{
-		random:   rand.New(rand.NewPCG(seed, 0)),
-		bySource: map[netip.AddrPort]int{},
-		stacks:   map[netip.Addr]*attachment{},
-		inside:   inside,
-		between:  between,
-		links:    map[linkKey]Link{},
-		lastDue:  map[linkKey]time.Duration{},
-		silent:   map[flowPair]bool{},
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		bySource:  map[netip.AddrPort]int{},
+		stacks:    map[netip.Addr]*attachment{},
+		linkTable: linkTable{inside: inside, between: between, links: map[linkKey]Link{}},
+		lastDue:   map[linkKey]time.Duration{},
+		silent:    map[flowPair]bool{},
 	}
 	for _, e := range entries {
 		n.addEntry(e)
@@ -224,16 +237,6 @@
 	return nil
 }
 
-func (n *network) linkFor(key linkKey) Link {
-	if l, ok := n.links[key]; ok {
-		return l
-	}
-	if key.from == key.to {
-		return n.inside
-	}
-	return n.between
-}
-
 // plan puts d into the pending deliveries as the link from key.from to key.to treats it.
 func (n *network) plan(d delivery, key linkKey, now time.Duration) {
 	l := n.linkFor(key)
