cassiawood-lab: report the cause of a failed start and quiet the stacks

Cause: a failed start printed fx's chain of constructors, and the user-space stacks warned of every segment that a fault had duplicated. Change: print the root cause; log the stacks' messages in detail level only.

--- a/cmd/cassiawood-lab/main.go
+++ b/cmd/cassiawood-lab/main.go
@@ -14,9 +14,12 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	gvisorlog "gvisor.dev/gvisor/pkg/log"
+
 	"cassiawood/internal/lab"
 )
 
@@ -55,6 +58,7 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(diagnostics, &slog.HandlerOptions{Level: o.level}))
+	gvisorlog.SetTarget(stackLog{log})
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return demo(ctx, o, log, out)
@@ -79,7 +83,7 @@
 		fx.Populate(&running),
 	)
 	if err := app.Start(ctx); err != nil {
-		return err
+		return dig.RootCause(err) // without the chain of constructors, which says nothing to a user
 	}
 	defer func() {
 		stopping, done := context.WithTimeout(context.Background(), stopLimit)
