lab: use the field's terms for names

Cause: conductor, place, gate, front, patience and excused are private terms. Change: runner, replica, proxy, forwarding address, request timeout and expected breaks; the flags -gate and -patience are now -proxy and -request-timeout. No change of behaviour.

--- a/cmd/cassiawood-lab/main_test.go
+++ b/cmd/cassiawood-lab/main_test.go
@@ -36,7 +36,7 @@
 		},
 		Entry("entry host without a domain", "-entry", "e1,127.0.0.1:9"),
 		Entry("service without an address", "-service", "desk"),
-		Entry("unknown action", "-at", "5s explode desk-1"),
+		Entry("unknown action", "-at", "5s destroy desk-1"),
 		Entry("link with a loss above 1", "-between", "loss=2"),
 		Entry("too many backend servers", "-backends", "255"),
 		Entry("argument", "rest"),
--- a/cmd/cassiawood-lab/options.go
+++ b/cmd/cassiawood-lab/options.go
@@ -38,13 +38,13 @@
 type demoFlags struct {
 	entries                                            []lab.EntryHost
 	services                                           []demoService
-	gates                                              []lab.GateConfig
+	proxies                                            []lab.ProxyConfig
 	announce                                           []string
 	timeline                                           []lab.Timed
 	inside, between                                    string
 	fabric, probes, token                              string
 	backends, connections, slots, queue, perConnection int
-	pause, work, cold, lease, patience, after          time.Duration
+	pause, work, cold, lease, requestTimeout, after    time.Duration
 	body                                               int
 	openRate, idempotent                               float64
 	seed                                               uint64
@@ -68,7 +68,7 @@
 }
 
 func (f *demoFlags) defineLists(set *flag.FlagSet) {
-	set.Func("entry", "entry host `NAME,DOMAIN,ADDRESS:PORT[,FRONT:PORT]` with its Geneve address, and the address at which the fabric takes other entry hosts' packets for it; repeat for each", func(text string) error {
+	set.Func("entry", "entry host `NAME,DOMAIN,ADDRESS:PORT[,FORWARD:PORT]` with its Geneve address, and the address at which the fabric takes other entry hosts' packets for it; repeat for each", func(text string) error {
 		e, err := parseEntryHost(text)
 		f.entries = append(f.entries, e)
 		return err
@@ -79,14 +79,14 @@
 		f.services = append(f.services, demoService{name, target})
 		return err
 	})
-	set.Func("gate", "`LISTEN:PORT,TARGET:PORT,DOMAIN`: forwards TCP connections to a process with the links of its failure domain; repeat for each", func(text string) error {
+	set.Func("proxy", "`LISTEN:PORT,TARGET:PORT,DOMAIN`: forwards TCP connections to a process with the links of its failure domain; repeat for each", func(text string) error {
 		fields := strings.Split(text, ",")
 		if len(fields) != 3 {
 			return errors.New("want LISTEN:PORT,TARGET:PORT,DOMAIN")
 		}
 		listen, err1 := netip.ParseAddrPort(fields[0])
 		target, err2 := netip.ParseAddrPort(fields[1])
-		f.gates = append(f.gates, lab.GateConfig{Listen: listen, Target: target, Domain: fields[2]})
+		f.proxies = append(f.proxies, lab.ProxyConfig{Listen: listen, Target: target, Domain: fields[2]})
 		return errors.Join(err1, err2)
 	})
 	set.Func("announce", "announcement `URL` of an entry host, such as http://127.0.1.1:8080/v1/announce; repeat for each", func(text string) error {
@@ -103,14 +103,14 @@
 func parseEntryHost(text string) (lab.EntryHost, error) {
 	fields := strings.Split(text, ",")
 	if len(fields) != 3 && len(fields) != 4 {
-		return lab.EntryHost{}, errors.New("want NAME,DOMAIN,ADDRESS:PORT[,FRONT:PORT]")
+		return lab.EntryHost{}, errors.New("want NAME,DOMAIN,ADDRESS:PORT[,FORWARD:PORT]")
 	}
 	e := lab.EntryHost{Name: fields[0], Domain: fields[1]}
 	var err error
 	if e.Addr, err = netip.ParseAddrPort(fields[2]); err != nil || len(fields) == 3 {
 		return e, err
 	}
-	e.Front, err = netip.ParseAddrPort(fields[3])
+	e.ForwardAddr, err = netip.ParseAddrPort(fields[3])
 	return e, err
 }
 
@@ -129,7 +129,7 @@
 	set.DurationVar(&f.work, "work", 5*time.Millisecond, "mean time that a request occupies a slot")
 	set.DurationVar(&f.cold, "cold-start", 0, "time that a backend server is in state \"starting\"")
 	set.DurationVar(&f.lease, "lease", 6*time.Second, "lease of an announcement")
-	set.DurationVar(&f.patience, "patience", 0, "time after which a caller gives up a request; 0 waits for ever")
+	set.DurationVar(&f.requestTimeout, "request-timeout", 0, "time after which a caller gives up a request; 0 waits for ever")
 	set.DurationVar(&f.after, "open-after", 2*time.Second, "time until callers open their first connection, so that backend servers are known")
 	set.IntVar(&f.body, "body", 500, "bytes of a request's and a response's body")
 	set.Float64Var(&f.openRate, "open-rate", 500, "connections opened per second and service at the start")
@@ -161,7 +161,7 @@
 	}
 	o.lab = lab.Config{
 		Fabric:   lab.FabricConfig{Listen: listen, EntryHosts: f.entries, Inside: inside, Between: between, Seed: f.seed},
-		Gates:    f.gates,
+		Proxies:  f.proxies,
 		Timeline: f.timeline,
 	}
 	for i, s := range f.services {
@@ -203,6 +203,6 @@
 		Name: "callers-" + s.name, Group: uint64(i + 1), Domain: "callers", Addresses: addresses,
 		Service: s.name, Target: s.target, Connections: f.connections, OpenAfter: f.after, OpenPerSecond: f.openRate,
 		RequestsPerConnection: f.perConnection, Pause: f.pause, Work: f.work, BodySize: f.body,
-		IdempotentShare: f.idempotent, Retries: 1, Patience: f.patience, Seed: f.seed,
+		IdempotentShare: f.idempotent, Retries: 1, RequestTimeout: f.requestTimeout, Seed: f.seed,
 	}
 }
--- a/internal/lab/action.go
+++ b/internal/lab/action.go
@@ -12,13 +12,13 @@
 // Action is a change of the lab during a run.
 type Action interface {
 	fmt.Stringer
-	do(c *conductor) error
+	do(c *runner) error
 }
 
 // FabricAction puts a fault of the fabric into force.
 type FabricAction struct{ Fault Fault }
 
-func (a FabricAction) do(c *conductor) error { return c.lab.fabric.Apply(a.Fault) }
+func (a FabricAction) do(c *runner) error { return c.lab.fabric.Apply(a.Fault) }
 
 // String describes the action.
 func (a FabricAction) String() string { return fmt.Sprintf("%T%+v", a.Fault, a.Fault) }
@@ -31,8 +31,8 @@
 // String describes the action.
 func (a BackendAction) String() string { return a.Verb + " " + a.Name }
 
-func (a BackendAction) do(c *conductor) error {
-	p := c.places[a.Name]
+func (a BackendAction) do(c *runner) error {
+	p := c.replicas[a.Name]
 	if p == nil {
 		return fmt.Errorf("no backend server %q", a.Name)
 	}
@@ -53,7 +53,7 @@
 	case "crash":
 		return c.crash(p)
 	case "silence":
-		c.excused[p.config.Service]++
+		c.expected[p.config.Service]++
 		_, err := p.instance.SilenceOne()
 		return err
 	default:
@@ -70,8 +70,8 @@
 // String describes the action.
 func (a FaultAction) String() string { return fmt.Sprintf("faults of %s: %+v", a.Name, a.Faults) }
 
-func (a FaultAction) do(c *conductor) error {
-	p := c.places[a.Name]
+func (a FaultAction) do(c *runner) error {
+	p := c.replicas[a.Name]
 	if p == nil || p.instance == nil {
 		return fmt.Errorf("backend server %q does not run", a.Name)
 	}
--- a/internal/lab/action_test.go
+++ b/internal/lab/action_test.go
@@ -34,8 +34,8 @@
 			_, err := ParseTimed(text)
 			Expect(err).To(MatchError(ContainSubstring(text)))
 		},
-		Entry(nil, "5s"), Entry(nil, "soon drain b1"), Entry(nil, "5s explode b1"), Entry(nil, "5s drain"),
-		Entry(nil, "5s drain b1 b2"), Entry(nil, "5s between speed=1"), Entry(nil, "5s faults b1 sulks"),
+		Entry(nil, "5s"), Entry(nil, "soon drain b1"), Entry(nil, "5s destroy b1"), Entry(nil, "5s drain"),
+		Entry(nil, "5s drain b1 b2"), Entry(nil, "5s between speed=1"), Entry(nil, "5s faults b1 unknown"),
 	)
 })
 
--- a/internal/lab/announce.go
+++ b/internal/lab/announce.go
@@ -45,7 +45,7 @@
 		return
 	}
 	state := s.state
-	if s.faults.ClaimReady && s.told {
+	if s.faults.ClaimReady && s.stateSent {
 		state = stateReady
 	}
 	_, _ = s.backend.announce.Put(announcement{
@@ -64,7 +64,7 @@
 		return
 	}
 	s.report0.Announced++
-	s.told = s.told || state == s.state
+	s.stateSent = s.stateSent || state == s.state
 }
 
 // announcer is the announcing duty of a backend server.
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -82,19 +82,19 @@
 
 // Backend is a running instance of a backend server.
 type Backend struct {
-	config   BackendConfig
-	fabric   *Fabric
-	host     *host
-	plug     *attachment
-	listener *socket
-	inbox    *ring.Ring[backendEvent]
-	announce *ring.Ring[announcement]
-	probes   *probeServer
-	group    *duty.Group
-	now      func() time.Duration
-	ticking  atomic.Bool
-	state    *backendState // belongs to the serving duty
-	log      *slog.Logger
+	config     BackendConfig
+	fabric     *Fabric
+	host       *host
+	attachment *attachment
+	listener   *socket
+	inbox      *ring.Ring[backendEvent]
+	announce   *ring.Ring[announcement]
+	probes     *probeServer
+	group      *duty.Group
+	now        func() time.Duration
+	ticking    atomic.Bool
+	state      *backendState // belongs to the serving duty
+	log        *slog.Logger
 }
 
 // backendEvent is something that happened to the serving duty.
@@ -118,7 +118,7 @@
 		log:      log.With("instance", config.Instance),
 	}
 	var err error
-	if b.host, b.plug, err = f.newHost(config.Domain, []netip.Addr{config.Address.Addr()}); err != nil {
+	if b.host, b.attachment, err = f.newHost(config.Domain, []netip.Addr{config.Address.Addr()}); err != nil {
 		return nil, fmt.Errorf("backend server %s: %w", config.Instance, err)
 	}
 	if b.listener, err = b.host.listen(config.Address, func() { _, _ = b.inbox.Put(backendEvent{accept: true}) }); err != nil {
@@ -183,7 +183,7 @@
 // Stop ends the instance. Connections that are still open vanish without a
 // packet, as when the machine loses power, unless Leave came before.
 func (b *Backend) Stop(ctx context.Context) error {
-	err := b.fabric.detach(b.plug)
+	err := b.fabric.detach(b.attachment)
 	err = errors.Join(err, b.group.Stop(ctx))
 	b.listener.close()
 	b.host.stack.Close()
@@ -199,7 +199,7 @@
 func askBackend[T any](b *Backend, do func(s *backendState) T) (T, error) {
 	reply := ring.New[T](b.config.Instance+"-reply", 1, ring.DropNewest)
 	event := backendEvent{do: func(s *backendState) { _, _ = reply.Put(do(s)) }}
-	if err := putPatiently(b.inbox, event); err != nil {
+	if err := putRetrying(b.inbox, event); err != nil {
 		var zero T
 		return zero, fmt.Errorf("backend server %s: %w", b.config.Instance, err)
 	}
--- a/internal/lab/backend_state.go
+++ b/internal/lab/backend_state.go
@@ -21,7 +21,7 @@
 	state        string
 	retiredAt    time.Duration // when it began to drain or leave
 	nextAnnounce time.Duration
-	told         bool // the last state has been announced
+	stateSent    bool // the last state has been announced
 	left         bool // no connection is left and the instance may end
 	faults       BackendFaults
 	probe        probeMemory
@@ -59,7 +59,7 @@
 		s.conns[c] = struct{}{}
 		c.watch(func() { _, _ = s.backend.inbox.Put(backendEvent{conn: c}) })
 		if s.state == stateLeaving {
-			s.sayGoodbye(c)
+			s.sendGoAway(c)
 		}
 		s.serve(c, now) // bytes may have arrived before watch
 	}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (s *backendState) sayGoodbye(c *backendConn) {
+func (s *backendState) sendGoAway(c *backendConn) {
 	s.reply(c, message{}, verbGoAway)
 }
 
@@ -174,13 +174,13 @@
 	s.setState(state)
 	if state == stateLeaving {
 		for c := range s.conns {
-			s.sayGoodbye(c)
+			s.sendGoAway(c)
 		}
 	}
 }
 
 func (s *backendState) setState(state string) {
-	s.state, s.told, s.nextAnnounce = state, false, 0
+	s.state, s.stateSent, s.nextAnnounce = state, false, 0
 }
 
 func (s *backendState) setFaults(faults BackendFaults) {
--- a/internal/lab/caller_conn.go
+++ b/internal/lab/caller_conn.go
@@ -49,7 +49,7 @@
 	case phaseIdle:
 		c.sendNext(now)
 	case phaseWaiting:
-		c.state.report.GaveUp++
+		c.state.report.TimedOut++
 		c.outcomeUnknown()
 		c.abort()
 		c.reopenLater(now)
@@ -116,7 +116,7 @@
 // sendNext sends a new request, or repeats the one whose outcome is unknown.
 func (c *callerConn) sendNext(now time.Duration) {
 	if c.state.finishing {
-		c.shut()
+		c.closeForGood()
 		return
 	}
 	if c.repeat {
@@ -131,8 +131,8 @@
 		c.onEnd(err, now)
 		return
 	}
-	if patience := c.state.callers.config.Patience; patience > 0 {
-		c.wakeAt(now + patience)
+	if timeout := c.state.callers.config.RequestTimeout; timeout > 0 {
+		c.wakeAt(now + timeout)
 	}
 }
 
@@ -191,12 +191,12 @@
 
 func (c *callerConn) afterResponse(now time.Duration) {
 	c.done++
-	c.generation++ // ends the patience
+	c.generation++ // ends the timeout
 	c.enter(phaseIdle, now)
 	limit := c.state.callers.config.RequestsPerConnection
 	switch {
 	case c.state.finishing:
-		c.shut()
+		c.closeForGood()
 	case c.goAway || limit > 0 && c.done >= limit:
 		c.closeAndReopen(now)
 	default:
@@ -234,8 +234,8 @@
 	}
 }
 
-// shut closes the connection for good.
-func (c *callerConn) shut() {
+// closeForGood closes the connection and does not open it again.
+func (c *callerConn) closeForGood() {
 	c.generation++
 	if c.socket != nil {
 		c.close()
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -45,7 +45,7 @@
 	BodySize              int
 	IdempotentShare       float64
 	Retries               int           // of an idempotent request with unknown outcome
-	Patience              time.Duration // after which a caller gives up a request and its connection; 0 waits for ever
+	RequestTimeout        time.Duration // after which a caller gives up a request and its connection; 0 waits for ever
 	Seed                  uint64
 }
 
@@ -57,7 +57,7 @@
 	ClosedByServer               uint64 // ended in order without a request in progress
 	Sent, Answered, Refused      uint64
 	Unknown                      uint64 // requests whose connection broke before the answer
-	GaveUp                       uint64 // requests that got no answer within the patience
+	TimedOut                     uint64 // requests that got no answer within the timeout
 	Retried                      uint64
 	Misrouted                    uint64 // responses of another service
 	Foreign                      uint64 // responses that do not belong to the connection's request
@@ -69,15 +69,15 @@
 
 // Callers is a group of callers on one user-space stack.
 type Callers struct {
-	config  CallersConfig
-	fabric  *Fabric
-	host    *host
-	plug    *attachment
-	inbox   *ring.Ring[callersEvent]
-	group   *duty.Group
-	now     func() time.Duration
-	ticking atomic.Bool
-	state   *callersState // belongs to the calling duty
+	config     CallersConfig
+	fabric     *Fabric
+	host       *host
+	attachment *attachment
+	inbox      *ring.Ring[callersEvent]
+	group      *duty.Group
+	now        func() time.Duration
+	ticking    atomic.Bool
+	state      *callersState // belongs to the calling duty
 }
 
 // callersEvent is something that happened to the calling duty.
@@ -114,7 +114,7 @@
 		now:   now,
 	}
 	var err error
-	if c.host, c.plug, err = f.newHost(config.Domain, config.Addresses); err != nil {
+	if c.host, c.attachment, err = f.newHost(config.Domain, config.Addresses); err != nil {
 		return nil, fmt.Errorf("callers %s: %w", config.Name, err)
 	}
 	c.state = newCallersState(c)
@@ -154,7 +154,7 @@
 
 // Stop ends the callers; connections that are still open vanish without a packet.
 func (c *Callers) Stop(ctx context.Context) error {
-	err := c.fabric.detach(c.plug)
+	err := c.fabric.detach(c.attachment)
 	err = errors.Join(err, c.group.Stop(ctx))
 	c.host.stack.Close()
 	return err
@@ -163,7 +163,7 @@
 // askCallers runs do in the calling duty and returns its answer.
 func askCallers[T any](c *Callers, do func(s *callersState) T) (T, error) {
 	reply := ring.New[T](c.config.Name+"-reply", 1, ring.DropNewest)
-	if err := putPatiently(c.inbox, callersEvent{do: func(s *callersState) { _, _ = reply.Put(do(s)) }}); err != nil {
+	if err := putRetrying(c.inbox, callersEvent{do: func(s *callersState) { _, _ = reply.Put(do(s)) }}); err != nil {
 		var zero T
 		return zero, fmt.Errorf("callers %s: %w", c.config.Name, err)
 	}
@@ -199,7 +199,7 @@
 	s.finishing = true
 	for _, c := range s.conns {
 		if c.phase != phaseWaiting {
-			c.shut()
+			c.closeForGood()
 		}
 	}
 }
--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -53,14 +53,14 @@
 	inner  []byte
 	stack  *attachment    // the packet's sender, if it is a stack
 	source netip.AddrPort // the packet's sender, if it is an entry host
-	target netip.AddrPort // the entry host whose front received the packet, if one did
+	target netip.AddrPort // the entry host whose forwarding address received the packet, if one did
 	change func(n *network)
 }
 
 // Fabric carries the packets between stacks and entry hosts.
 type Fabric struct {
 	conn     *net.UDPConn
-	fronts   []*net.UDPConn
+	forwards []*net.UDPConn
 	packets  *ipv4.PacketConn
 	inbox    *ring.Ring[fabricEvent]
 	toEntry  *ring.Ring[delivery]
@@ -101,10 +101,10 @@
 	f.group.Add(tickDuty("fabric-clock", tickInterval, &f.ticking, func() { _, _ = f.inbox.Put(fabricEvent{}) }))
 	f.group.Add(closeDuty("fabric-closer", f.inbox.Close, f.toEntry.Close, f.toStack.Close, func() { _ = f.closeSockets() }))
 	for _, e := range config.EntryHosts {
-		if !e.Front.IsValid() {
+		if !e.ForwardAddr.IsValid() {
 			continue
 		}
-		if err := f.addFront(e); err != nil {
+		if err := f.addForward(e); err != nil {
 			return nil, errors.Join(err, f.closeSockets())
 		}
 	}
@@ -177,7 +177,7 @@
 	return stats, err
 }
 
-// publishLinks gives the gates a copy of the links.
+// publishLinks gives the proxies a copy of the links.
 func (f *Fabric) publishLinks() {
 	table := f.network.linkTable
 	table.links = maps.Clone(table.links)
@@ -203,16 +203,16 @@
 	change := fabricEvent{change: func(n *network) {
 		_, _ = reply.Put(do(n))
 	}}
-	if err := putPatiently(f.inbox, change); err != nil {
+	if err := putRetrying(f.inbox, change); err != nil {
 		var zero T
 		return zero, fmt.Errorf("fabric: %w", err)
 	}
 	return reply.Get()
 }
 
-// putPatiently retries a value that must not be lost in a ring that drops
+// putRetrying retries a value that must not be lost in a ring that drops
 // values when it is full.
-func putPatiently[T any](r *ring.Ring[T], v T) error {
+func putRetrying[T any](r *ring.Ring[T], v T) error {
 	for {
 		queued, err := r.Put(v)
 		if err != nil || queued {
@@ -301,14 +301,14 @@
 	_, _ = f.inbox.Put(fabricEvent{inner: append([]byte(nil), g.Inner...), source: source})
 }
 
-// addFront opens the front of an entry host and adds the duty that reads it.
-func (f *Fabric) addFront(e EntryHost) error {
-	conn, err := listenUDP(e.Front)
+// addForward opens the forwarding address of an entry host and adds the duty that reads it.
+func (f *Fabric) addForward(e EntryHost) error {
+	conn, err := listenUDP(e.ForwardAddr)
 	if err != nil {
-		return fmt.Errorf("front of entry host %s: %w", e.Name, err)
+		return fmt.Errorf("forwarding address of entry host %s: %w", e.Name, err)
 	}
-	f.fronts = append(f.fronts, conn)
-	f.group.Add(duty.Duty{Name: "fabric-front-" + e.Name, Run: f.reader(ipv4.NewPacketConn(conn), func(datagram []byte, source netip.AddrPort) {
+	f.forwards = append(f.forwards, conn)
+	f.group.Add(duty.Duty{Name: "fabric-forward-" + e.Name, Run: f.reader(ipv4.NewPacketConn(conn), func(datagram []byte, source netip.AddrPort) {
 		_, _ = f.inbox.Put(fabricEvent{inner: append([]byte(nil), datagram...), source: source, target: e.Addr})
 	})})
 	return nil
@@ -317,8 +317,8 @@
 // closeSockets ends the duties that read.
 func (f *Fabric) closeSockets() error {
 	failures := f.conn.Close()
-	for _, front := range f.fronts {
-		failures = errors.Join(failures, front.Close())
+	for _, forward := range f.forwards {
+		failures = errors.Join(failures, forward.Close())
 	}
 	return failures
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// conductorTick bounds the error of the times of actions.
-	conductorTick = 20 * time.Millisecond
-	// conductorRing holds the actions and questions that wait.
-	conductorRing = 256
+	// runnerTick bounds the error of the times of actions.
+	runnerTick = 20 * time.Millisecond
+	// runnerRing holds the actions and questions that wait.
+	runnerRing = 256
 	// stopLimit bounds the end of one backend server, whose duties do nothing long.
 	stopLimit = 10 * time.Second
 )
@@ -27,7 +27,7 @@
 	Fabric   FabricConfig
 	Backends []BackendConfig // Instance is also the name in actions
 	Callers  []CallersConfig
-	Gates    []GateConfig
+	Proxies  []ProxyConfig
 	Timeline []Timed
 }
 
@@ -44,36 +44,36 @@
 	onFatal func(error)
 	fabric  *Fabric
 	callers []*Callers
-	gates   []*Gate
-	inbox   *ring.Ring[conductorEvent]
+	proxies []*Proxy
+	inbox   *ring.Ring[runnerEvent]
 	group   *duty.Group
 	now     func() time.Duration
 	ticking atomic.Bool
-	state   *conductor // belongs to the conducting duty once it has started
+	state   *runner // belongs to the runner duty once it has started
 }
 
-type conductorEvent struct {
-	do func(c *conductor)
+type runnerEvent struct {
+	do func(c *runner)
 }
 
-// place is where one backend server runs; its instances follow each other.
-type place struct {
+// replica is one backend server of the configuration; its instances follow each other.
+type replica struct {
 	config     BackendConfig
 	instance   *Backend // nil while none runs
 	started    int      // instances so far
 	restarting bool     // the next instance starts when the present one has left
 }
 
-// conductor is what the conducting duty owns.
-type conductor struct {
+// runner is what the runner duty owns.
+type runner struct {
 	lab      *Lab
-	places   map[string]*place
+	replicas map[string]*replica
 	timeline []Timed // that is not done yet, by time
 	past     []BackendReport
 	failures []error // of timed actions
-	// excused counts, by service, the connections that crashed or silenced backend
+	// expected counts, by service, the connections that crashed or silenced backend
 	// servers have broken, which no load balancer can save.
-	excused map[string]int
+	expected map[string]int
 }
 
 // Start opens the fabric and starts the backend servers and callers.
@@ -85,35 +85,35 @@
 	start := time.Now()
 	l := &Lab{
 		config: config, log: log, onFatal: onFatal, fabric: fabric,
-		inbox: ring.New[conductorEvent]("conductor", conductorRing, ring.DropNewest),
+		inbox: ring.New[runnerEvent]("runner", runnerRing, ring.DropNewest),
 		now:   func() time.Duration { return time.Since(start) },
 	}
 	l.group = duty.NewGroup(log, handlerLimit, l.now, onFatal)
-	l.state = &conductor{lab: l, places: map[string]*place{}, excused: map[string]int{}, timeline: sortedByTime(config.Timeline)}
+	l.state = &runner{lab: l, replicas: map[string]*replica{}, expected: map[string]int{}, timeline: sortedByTime(config.Timeline)}
 	fabric.Start()
 	if err := l.startAll(); err != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 		defer cancel()
 		return nil, errors.Join(err, l.stopAll(ctx))
 	}
-	l.group.Add(duty.FromRing("conductor", l.inbox, l.handle))
-	l.group.Add(tickDuty("conductor-clock", conductorTick, &l.ticking, func() { _, _ = l.inbox.Put(conductorEvent{}) }))
-	l.group.Add(closeDuty("conductor-closer", l.inbox.Close))
+	l.group.Add(duty.FromRing("runner", l.inbox, l.handle))
+	l.group.Add(tickDuty("runner-clock", runnerTick, &l.ticking, func() { _, _ = l.inbox.Put(runnerEvent{}) }))
+	l.group.Add(closeDuty("runner-closer", l.inbox.Close))
 	l.group.Start()
 	return l, nil
 }
 
 func (l *Lab) startAll() error {
-	for i, config := range l.config.Gates {
-		gate, err := StartGate(l.fabric, config, l.config.sources(), l.config.Fabric.Seed+uint64(i), l.log, l.onFatal)
+	for i, config := range l.config.Proxies {
+		proxy, err := StartProxy(l.fabric, config, l.config.sources(), l.config.Fabric.Seed+uint64(i), l.log, l.onFatal)
 		if err != nil {
 			return err
 		}
-		l.gates = append(l.gates, gate)
+		l.proxies = append(l.proxies, proxy)
 	}
 	for _, config := range l.config.Backends {
-		p := &place{config: config}
-		l.state.places[config.Instance] = p
+		p := &replica{config: config}
+		l.state.replicas[config.Instance] = p
 		if err := l.state.start(p); err != nil {
 			return err
 		}
@@ -129,13 +129,13 @@
 }
 
 // sources returns the failure domain of each address from which a process may
-// dial: those of entry hosts and of the processes behind gates.
+// dial: those of entry hosts and of the processes behind proxies.
 func (c *Config) sources() map[netip.Addr]string {
 	domains := map[netip.Addr]string{}
 	for _, e := range c.Fabric.EntryHosts {
 		domains[e.Addr.Addr()] = e.Domain
 	}
-	for _, g := range c.Gates {
+	for _, g := range c.Proxies {
 		domains[g.Target.Addr()] = g.Domain
 	}
 	return domains
@@ -146,7 +146,7 @@
 
 // Do carries out an action now.
 func (l *Lab) Do(a Action) error {
-	result, err := askConductor(l, func(c *conductor) error { return a.do(c) })
+	result, err := askRunner(l, func(c *runner) error { return a.do(c) })
 	return errors.Join(err, result)
 }
 
@@ -158,7 +158,7 @@
 			return err
 		}
 	}
-	ticker := time.NewTicker(conductorTick)
+	ticker := time.NewTicker(runnerTick)
 	defer ticker.Stop()
 	for {
 		waiting, err := l.waiting()
@@ -195,27 +195,27 @@
 	for _, c := range l.callers {
 		failures = errors.Join(failures, c.Stop(ctx))
 	}
-	for _, p := range l.state.places {
+	for _, p := range l.state.replicas {
 		if p.instance != nil {
 			failures = errors.Join(failures, p.instance.Stop(ctx))
 		}
 	}
-	for _, g := range l.gates {
+	for _, g := range l.proxies {
 		failures = errors.Join(failures, g.Stop(ctx))
 	}
 	return errors.Join(failures, l.fabric.Stop(ctx))
 }
 
-func askConductor[T any](l *Lab, do func(c *conductor) T) (T, error) {
-	reply := ring.New[T]("conductor-reply", 1, ring.DropNewest)
-	if err := putPatiently(l.inbox, conductorEvent{do: func(c *conductor) { _, _ = reply.Put(do(c)) }}); err != nil {
+func askRunner[T any](l *Lab, do func(c *runner) T) (T, error) {
+	reply := ring.New[T]("runner-reply", 1, ring.DropNewest)
+	if err := putRetrying(l.inbox, runnerEvent{do: func(c *runner) { _, _ = reply.Put(do(c)) }}); err != nil {
 		var zero T
 		return zero, fmt.Errorf("lab: %w", err)
 	}
 	return reply.Get()
 }
 
-func (l *Lab) handle(e conductorEvent) error {
+func (l *Lab) handle(e runnerEvent) error {
 	if e.do != nil {
 		e.do(l.state)
 		return nil
@@ -225,7 +225,7 @@
 }
 
 // tick carries out the actions that are due and replaces instances that have left.
-func (c *conductor) tick(now time.Duration) error {
+func (c *runner) tick(now time.Duration) error {
 	for len(c.timeline) > 0 && c.timeline[0].At <= now {
 		next := c.timeline[0]
 		c.timeline = c.timeline[1:]
@@ -234,7 +234,7 @@
 			c.failures = append(c.failures, fmt.Errorf("%s: %w", next.Action, err))
 		}
 	}
-	for _, p := range c.places {
+	for _, p := range c.replicas {
 		if p.instance == nil {
 			continue
 		}
@@ -251,7 +251,7 @@
 	return nil
 }
 
-func (c *conductor) replace(p *place) error {
+func (c *runner) replace(p *replica) error {
 	if err := c.end(p); err != nil {
 		return err
 	}
@@ -262,9 +262,9 @@
 	return c.start(p)
 }
 
-// start starts the next instance of a place. Each instance has a name of its
+// start starts the next instance of a replica. Each instance has a name of its
 // own, since the directory treats a restarted backend server as a new one.
-func (c *conductor) start(p *place) error {
+func (c *runner) start(p *replica) error {
 	if p.instance != nil {
 		return fmt.Errorf("backend server %s runs already", p.config.Instance)
 	}
@@ -279,17 +279,17 @@
 	return nil
 }
 
-// crash ends the instance of a place without a packet to its callers.
-func (c *conductor) crash(p *place) error {
+// crash ends the instance of a replica without a packet to its callers.
+func (c *runner) crash(p *replica) error {
 	if err := c.end(p); err != nil {
 		return err
 	}
-	c.excused[p.config.Service] += c.past[len(c.past)-1].Open
+	c.expected[p.config.Service] += c.past[len(c.past)-1].Open
 	return nil
 }
 
-// end stops the instance of a place and keeps its account.
-func (c *conductor) end(p *place) error {
+// end stops the instance of a replica and keeps its account.
+func (c *runner) end(p *replica) error {
 	report, err := p.instance.Report()
 	if err != nil {
 		return err
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -75,16 +75,16 @@
 		site := newSite(2, 1, 5)
 		// A caller whose request was acknowledged before the crash has nothing to
 		// retransmit and hears nothing more.
-		site.config.Callers[0].Patience = 3 * time.Second
+		site.config.Callers[0].RequestTimeout = 3 * time.Second
 		l := site.start()
 		waitFor(l, answered(20))
 		Expect(l.Do(BackendAction{Verb: "crash", Name: "b1"})).To(Succeed())
 		Expect(l.Do(BackendAction{Verb: "start", Name: "b1"})).To(Succeed())
-		waitFor(l, func(r ServiceReport) bool { return r.Broken+r.GaveUp >= 5 && r.Opened >= 10 })
+		waitFor(l, func(r ServiceReport) bool { return r.Broken+r.TimedOut >= 5 && r.Opened >= 10 })
 		r := finish(l)
-		Expect(r.Services[0].Unknown).To(BeNumerically(">=", r.Services[0].GaveUp))
-		Expect(r.Services[0].Excused).To(And(Equal(r.Backends[0].Open), BeNumerically(">", 0)))
-		r.Services[0].Excused = 0
+		Expect(r.Services[0].Unknown).To(BeNumerically(">=", r.Services[0].TimedOut))
+		Expect(r.Services[0].ExpectedBreaks).To(And(Equal(r.Backends[0].Open), BeNumerically(">", 0)))
+		r.Services[0].ExpectedBreaks = 0
 		Expect(r.Violations()).To(ContainElement(ContainSubstring("broken connections")))
 	})
 
@@ -105,7 +105,7 @@
 		Expect(l.Do(BackendAction{Verb: "silence", Name: "b1"})).To(Succeed())
 		before := report(l).Services[0].Answered
 		waitFor(l, func(r ServiceReport) bool { return r.Answered > before+100 && r.Waiting >= 1 })
-		Expect(report(l).Services[0].Excused).To(Equal(1))
+		Expect(report(l).Services[0].ExpectedBreaks).To(Equal(1))
 		Expect(report(l).Fabric.Silenced).To(BeNumerically(">", 0))
 		Expect(l.Stop(context.Background())).To(Succeed())
 	})
@@ -153,17 +153,17 @@
 		Expect(finish(l).Violations()).To(BeEmpty())
 	})
 
-	// Guards against a front that loses or changes what entry hosts send to each other.
-	It("forwards packets between entry hosts through a front", func() {
+	// Guards against a forwarding address that loses or changes what entry hosts send to each other.
+	It("forwards packets between entry hosts through a forwarding address", func() {
 		site := newSite(2, 1, 1)
-		probe, err := listenUDP(loopback0) // reserves a free port for the front
+		probe, err := listenUDP(loopback0) // reserves a free port for the forwarding address
 		Expect(err).NotTo(HaveOccurred())
-		front := unmapped(probe.LocalAddr())
+		forward := unmapped(probe.LocalAddr())
 		Expect(probe.Close()).To(Succeed())
-		site.config.Fabric.EntryHosts[1].Front = front
+		site.config.Fabric.EntryHosts[1].ForwardAddr = forward
 		l, err := Start(site.config, discard, failOnFatal)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = site.hosts[0].conn.WriteToUDPAddrPort([]byte("hand-off"), front)
+		_, err = site.hosts[0].conn.WriteToUDPAddrPort([]byte("hand-off"), forward)
 		Expect(err).NotTo(HaveOccurred())
 		buffer := make([]byte, maxDatagram)
 		for got := ""; got != "hand-off"; { // packets of callers arrive as well
--- a/internal/lab/network.go
+++ b/internal/lab/network.go
@@ -14,10 +14,10 @@
 	Name   string
 	Domain string
 	Addr   netip.AddrPort // Geneve
-	// Front is an address of the fabric that forwards the Geneve packets of other
+	// ForwardAddr is an address of the fabric that forwards the Geneve packets of other
 	// entry hosts to Addr, if it is valid. With it as the host's published
 	// address, the faults of links apply to packets between entry hosts too.
-	Front netip.AddrPort
+	ForwardAddr netip.AddrPort
 }
 
 // Link is the quality of the path between two failure domains, in one direction.
@@ -33,7 +33,7 @@
 // FabricStats counts the packets of the fabric.
 type FabricStats struct {
 	FromStacks, ToEntryHosts, FromEntryHosts, ToStacks uint64
-	BetweenEntryHosts                                  uint64 // through fronts
+	BetweenEntryHosts                                  uint64 // through forwarding addresses
 	Lost, CutOff, Duplicated, Reordered, Silenced      uint64
 	NoEntryHost                                        uint64 // every entry host was out of the spray
 	UnknownSource                                      uint64 // from an address that is no entry host
@@ -182,7 +182,7 @@
 	n.plan(delivery{toStack: a, inner: inner}, linkKey{n.entries[i].Domain, a.domain}, now)
 }
 
-// betweenEntries takes a datagram that an entry host has sent to another one's front.
+// betweenEntries takes a datagram that an entry host has sent to the forwarding address of another one.
 func (n *network) betweenEntries(source, target netip.AddrPort, datagram []byte, now time.Duration) {
 	n.stats.BetweenEntryHosts++
 	from, known := n.bySource[source]
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -12,14 +12,14 @@
 // ServiceReport is the account of one service over all its callers and backend servers.
 type ServiceReport struct {
 	CallersReport
-	Excused    int     // connections that crashed or silenced backend servers have broken
-	Lost       int     // requests without a response on a connection that did not break
-	Doubled    int     // non-idempotent requests that ran more than once
-	RefusedRan int     // requests that were refused to the caller although they ran
-	ForeignRan uint64  // requests of another service that reached a backend server
-	LateFlows  uint64  // accepted more than 3 s after a backend server began to drain or leave
-	Runs       uint64  // requests that ran, repeated ones included
-	Imbalance  float64 // highest over mean of work in progress per slot
+	ExpectedBreaks int     // connections that crashed or silenced backend servers have broken
+	Lost           int     // requests without a response on a connection that did not break
+	Doubled        int     // non-idempotent requests that ran more than once
+	RefusedRan     int     // requests that were refused to the caller although they ran
+	ForeignRan     uint64  // requests of another service that reached a backend server
+	LateFlows      uint64  // accepted more than 3 s after a backend server began to drain or leave
+	Runs           uint64  // requests that ran, repeated ones included
+	Imbalance      float64 // highest over mean of work in progress per slot
 }
 
 // Results is the account of a lab.
@@ -36,12 +36,12 @@
 	type collected struct {
 		backends []BackendReport
 		failures []error
-		excused  map[string]int
+		expected map[string]int
 		err      error
 	}
-	c, err := askConductor(l, func(c *conductor) collected {
+	c, err := askRunner(l, func(c *runner) collected {
 		backends, err := c.collect()
-		return collected{backends, slices.Clone(c.failures), maps.Clone(c.excused), err}
+		return collected{backends, slices.Clone(c.failures), maps.Clone(c.expected), err}
 	})
 	if err = errors.Join(err, c.err); err != nil {
 		return Results{}, err
@@ -58,15 +58,15 @@
 		report.addCallers(r)
 	}
 	for i := range report.Services {
-		report.Services[i].Excused = c.excused[report.Services[i].Service]
+		report.Services[i].ExpectedBreaks = c.expected[report.Services[i].Service]
 		report.Services[i].check(report.Backends)
 	}
 	return report, nil
 }
 
-func (c *conductor) collect() ([]BackendReport, error) {
+func (c *runner) collect() ([]BackendReport, error) {
 	backends := slices.Clone(c.past)
-	for _, p := range c.places {
+	for _, p := range c.replicas {
 		if p.instance == nil {
 			continue
 		}
@@ -104,7 +104,7 @@
 	r.Answered += o.Answered
 	r.Refused += o.Refused
 	r.Unknown += o.Unknown
-	r.GaveUp += o.GaveUp
+	r.TimedOut += o.TimedOut
 	r.Retried += o.Retried
 	r.Misrouted += o.Misrouted
 	r.Foreign += o.Foreign
@@ -182,7 +182,7 @@
 			count uint64
 			what  string
 		}{
-			{s.unexcused(), "broken connections and requests without an answer beyond the excused"},
+			{s.unexpected(), "broken connections and requests without an answer beyond the expected"},
 			{uint64(s.Doubled), "doubled requests"},
 			{uint64(s.RefusedRan), "refused requests that ran"},
 			{s.Misrouted + s.ForeignRan, "misrouted messages"},
@@ -200,21 +200,21 @@
 	return found
 }
 
-// unexcused returns the broken connections and the requests without an answer
+// unexpected returns the broken connections and the requests without an answer
 // for which no crashed or silenced backend server is the reason.
-func (s *ServiceReport) unexcused() uint64 {
-	bad, excused := s.Broken+uint64(s.Lost)+s.GaveUp, uint64(s.Excused)
-	return bad - min(bad, excused)
+func (s *ServiceReport) unexpected() uint64 {
+	bad, expected := s.Broken+uint64(s.Lost)+s.TimedOut, uint64(s.ExpectedBreaks)
+	return bad - min(bad, expected)
 }
 
 // WriteTable writes the report as a table for people.
 func (r *Results) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, err := fmt.Fprintln(t, "service\topened\tfailed\tbroken\texcused\tsent\tanswered\trefused\tunknown\tlost\tdoubled\tmisrouted\timbalance\t")
+	_, err := fmt.Fprintln(t, "service\topened\tfailed\tbroken\texpected\tsent\tanswered\trefused\tunknown\tlost\tdoubled\tmisrouted\timbalance\t")
 	for i := range r.Services {
 		s := &r.Services[i]
 		_, e := fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t\n", s.Service, s.Opened, s.ConnectFailed,
-			s.Broken, s.Excused, s.Sent, s.Answered, s.Refused, s.Unknown, s.Lost, s.Doubled, s.Misrouted+s.ForeignRan, s.Imbalance)
+			s.Broken, s.ExpectedBreaks, s.Sent, s.Answered, s.Refused, s.Unknown, s.Lost, s.Doubled, s.Misrouted+s.ForeignRan, s.Imbalance)
 		err = errors.Join(err, e)
 	}
 	return errors.Join(err, t.Flush())
--- a/internal/lab/gate.go
+++ b/internal/lab/tcpproxy.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// gateChunk is the number of bytes that a gate forwards at once.
-	gateChunk = 4096
-	// gateChunks bounds what one direction of a connection holds back; more waits
+	// proxyChunk is the number of bytes that a proxy forwards at once.
+	proxyChunk = 4096
+	// proxyChunks bounds what one direction of a connection holds back; more waits
 	// at its sender, as with a full TCP window.
-	gateChunks = 256
-	// gateRing holds new and ended connections.
-	gateRing = 256
-	// gateDialTimeout bounds a dial to a process on the same machine.
-	gateDialTimeout = time.Second
+	proxyChunks = 256
+	// proxyRing holds new and ended connections.
+	proxyRing = 256
+	// proxyDialTimeout bounds a dial to a process on the same machine.
+	proxyDialTimeout = time.Second
 	// lostSegmentDelay is what a lost segment costs a TCP stream: the usual
 	// minimum of the retransmission timeout.
 	lostSegmentDelay = 200 * time.Millisecond
@@ -31,23 +31,23 @@
 	cutPoll = 10 * time.Millisecond
 )
 
-// GateConfig describes a gate: an address that forwards TCP connections to a
+// ProxyConfig describes a proxy: an address that forwards TCP connections to a
 // process, with the link between the failure domains of both ends.
-type GateConfig struct {
+type ProxyConfig struct {
 	Listen netip.AddrPort // the process publishes it as its own
 	Target netip.AddrPort // where the process listens
 	Domain string         // of the process
 }
 
-// Gate forwards TCP connections. A cut link holds their bytes back and closes
+// Proxy forwards TCP connections. A cut link holds their bytes back and closes
 // nothing, like a silent partition; loss appears as delay. When one side closes a
-// connection, even in one direction, the gate ends it once that side's bytes are sent.
-type Gate struct {
-	config   GateConfig
+// connection, even in one direction, the proxy ends it once that side's bytes are sent.
+type Proxy struct {
+	config   ProxyConfig
 	sources  map[netip.Addr]string // failure domain by address of the dialing process
 	fabric   *Fabric
 	listener net.Listener
-	inbox    *ring.Ring[gateEvent]
+	inbox    *ring.Ring[proxyEvent]
 	group    *duty.Group
 	log      *slog.Logger
 	seed     uint64
@@ -55,12 +55,12 @@
 	accepted uint64               // belongs to the managing duty
 }
 
-type gateEvent struct {
+type proxyEvent struct {
 	accepted net.Conn
 	ended    *stream
 }
 
-// stream is one connection through a gate with its four duties, a reader and a
+// stream is one connection through a proxy with its four duties, a reader and a
 // writer in each direction.
 type stream struct {
 	group *duty.Group
@@ -72,34 +72,34 @@
 	bytes []byte
 }
 
-// StartGate starts a gate. sources names the failure domain of each address from
+// StartProxy starts a proxy. sources names the failure domain of each address from
 // which processes dial; the links are those of the fabric.
-func StartGate(f *Fabric, config GateConfig, sources map[netip.Addr]string, seed uint64, log *slog.Logger, onFatal func(error)) (*Gate, error) {
+func StartProxy(f *Fabric, config ProxyConfig, sources map[netip.Addr]string, seed uint64, log *slog.Logger, onFatal func(error)) (*Proxy, error) {
 	listener, err := net.Listen("tcp4", config.Listen.String())
 	if err != nil {
-		return nil, fmt.Errorf("gate: %w", err)
+		return nil, fmt.Errorf("proxy: %w", err)
 	}
 	start := time.Now()
-	g := &Gate{
+	g := &Proxy{
 		config: config, sources: sources, fabric: f, listener: listener, log: log, seed: seed,
-		inbox:   ring.New[gateEvent]("gate", gateRing, ring.DropNewest),
+		inbox:   ring.New[proxyEvent]("proxy", proxyRing, ring.DropNewest),
 		group:   duty.NewGroup(log, handlerLimit, func() time.Duration { return time.Since(start) }, onFatal),
 		streams: map[*stream]struct{}{},
 	}
-	g.group.Add(duty.Duty{Name: "gate-acceptor", Run: g.accept})
-	g.group.Add(duty.FromRing("gate-manager", g.inbox, g.handle))
-	g.group.Add(closeDuty("gate-closer", func() { _ = listener.Close() }, g.inbox.Close))
+	g.group.Add(duty.Duty{Name: "proxy-acceptor", Run: g.accept})
+	g.group.Add(duty.FromRing("proxy-manager", g.inbox, g.handle))
+	g.group.Add(closeDuty("proxy-closer", func() { _ = listener.Close() }, g.inbox.Close))
 	g.group.Start()
 	return g, nil
 }
 
-// Addr returns the address of the gate.
-func (g *Gate) Addr() netip.AddrPort {
+// Addr returns the address of the proxy.
+func (g *Proxy) Addr() netip.AddrPort {
 	return g.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Stop closes the gate and its connections.
-func (g *Gate) Stop(ctx context.Context) error {
+// Stop closes the proxy and its connections.
+func (g *Proxy) Stop(ctx context.Context) error {
 	failures := g.group.Stop(ctx)
 	for s := range g.streams {
 		failures = errors.Join(failures, s.group.Stop(ctx))
@@ -107,52 +107,52 @@
 	return failures
 }
 
-func (g *Gate) accept(ctx context.Context, _ *duty.Progress) error {
+func (g *Proxy) accept(ctx context.Context, _ *duty.Progress) error {
 	for {
 		conn, err := g.listener.Accept()
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("gate: %w", err)
+			return fmt.Errorf("proxy: %w", err)
 		}
-		if queued, err := g.inbox.Put(gateEvent{accepted: conn}); err != nil || !queued {
+		if queued, err := g.inbox.Put(proxyEvent{accepted: conn}); err != nil || !queued {
 			_ = conn.Close() // the dialing process tries again
 		}
 	}
 }
 
-func (g *Gate) handle(e gateEvent) error {
+func (g *Proxy) handle(e proxyEvent) error {
 	if e.ended != nil {
 		delete(g.streams, e.ended)
 		return e.ended.group.Stop(context.Background())
 	}
-	target, err := net.DialTimeout("tcp4", g.config.Target.String(), gateDialTimeout)
+	target, err := net.DialTimeout("tcp4", g.config.Target.String(), proxyDialTimeout)
 	if err != nil {
-		g.log.Debug("gate target does not answer", "target", g.config.Target, "reason", err)
+		g.log.Debug("proxy target does not answer", "target", g.config.Target, "reason", err)
 		return e.accepted.Close()
 	}
 	g.startStream(e.accepted, target)
 	return nil
 }
 
-func (g *Gate) startStream(source, target net.Conn) {
+func (g *Proxy) startStream(source, target net.Conn) {
 	from := g.sources[source.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()]
 	g.accepted++
 	start := time.Now()
 	s := &stream{}
 	// A stream's duties end when either side closes it; that is no fault, so it is not logged.
 	s.group = duty.NewGroup(slog.New(slog.DiscardHandler), handlerLimit, func() time.Duration { return time.Since(start) },
-		func(error) { _ = putPatiently(g.inbox, gateEvent{ended: s}) })
-	there := &pump{gate: g, in: source, out: target, link: linkKey{from, g.config.Domain}}
-	back := &pump{gate: g, in: target, out: source, link: linkKey{g.config.Domain, from}}
-	for i, p := range []*pump{there, back} {
-		p.chunks = ring.New[chunk]("gate-chunks", gateChunks, ring.Block)
+		func(error) { _ = putRetrying(g.inbox, proxyEvent{ended: s}) })
+	forward := &pump{proxy: g, in: source, out: target, link: linkKey{from, g.config.Domain}}
+	backward := &pump{proxy: g, in: target, out: source, link: linkKey{g.config.Domain, from}}
+	for i, p := range []*pump{forward, backward} {
+		p.chunks = ring.New[chunk]("proxy-chunks", proxyChunks, ring.Block)
 		p.random = rand.New(rand.NewPCG(g.seed, 2*g.accepted+uint64(i)))
-		s.group.Add(duty.Duty{Name: "gate-read", Run: p.read})
-		s.group.Add(duty.Duty{Name: "gate-write", Run: p.write})
+		s.group.Add(duty.Duty{Name: "proxy-read", Run: p.read})
+		s.group.Add(duty.Duty{Name: "proxy-write", Run: p.write})
 	}
-	s.group.Add(closeDuty("gate-stream-closer", there.chunks.Close, back.chunks.Close,
+	s.group.Add(closeDuty("proxy-stream-closer", forward.chunks.Close, backward.chunks.Close,
 		func() { _ = source.Close() }, func() { _ = target.Close() }))
 	g.streams[s] = struct{}{}
 	s.group.Start()
@@ -160,7 +160,7 @@
 
 // pump is one direction of a stream.
 type pump struct {
-	gate   *Gate
+	proxy  *Proxy
 	in     net.Conn
 	out    net.Conn
 	link   linkKey
@@ -171,7 +171,7 @@
 // read takes what one side sends and gives each chunk its time. At the end it
 // leaves it to the writer to end the stream, after the last chunk.
 func (p *pump) read(ctx context.Context, _ *duty.Progress) error {
-	buffer := make([]byte, gateChunk)
+	buffer := make([]byte, proxyChunk)
 	for {
 		n, err := p.in.Read(buffer)
 		if n > 0 {
@@ -186,7 +186,7 @@
 }
 
 func (p *pump) delay() time.Duration {
-	l := p.gate.fabric.link(p.link)
+	l := p.proxy.fabric.link(p.link)
 	d := l.Delay
 	if l.Jitter > 0 {
 		d += time.Duration(p.random.Int64N(int64(l.Jitter)))
@@ -207,7 +207,7 @@
 		if err := wait(ctx, time.Until(c.due)); err != nil {
 			return err
 		}
-		for p.gate.fabric.link(p.link).Cut {
+		for p.proxy.fabric.link(p.link).Cut {
 			if err := wait(ctx, cutPoll); err != nil {
 				return err
 			}
--- a/internal/lab/gate_test.go
+++ b/internal/lab/tcpproxy_test.go
@@ -12,10 +12,10 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("Gate", func() {
+var _ = Describe("Proxy", func() {
 	var (
 		fabric *Fabric
-		gate   *Gate
+		proxy  *Proxy
 		target *net.TCPListener
 	)
 	BeforeEach(func() {
@@ -28,16 +28,16 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(target.Close)
 		sources := map[netip.Addr]string{netip.MustParseAddr("127.0.0.2"): "a", netip.MustParseAddr("127.0.0.3"): "b"}
-		config := GateConfig{Listen: loopback0, Target: target.Addr().(*net.TCPAddr).AddrPort(), Domain: "b"}
-		gate, err = StartGate(fabric, config, sources, 1, discard, failOnFatal)
+		config := ProxyConfig{Listen: loopback0, Target: target.Addr().(*net.TCPAddr).AddrPort(), Domain: "b"}
+		proxy, err = StartProxy(fabric, config, sources, 1, discard, failOnFatal)
 		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(func() error { return gate.Stop(context.Background()) })
+		DeferCleanup(func() error { return proxy.Stop(context.Background()) })
 	})
-	// dial connects from an address through the gate and returns both ends.
+	// dial connects from an address through the proxy and returns both ends.
 	dial := func(from string) (near, far net.Conn) {
 		GinkgoHelper()
 		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
-		near, err := dialer.Dial("tcp4", gate.Addr().String())
+		near, err := dialer.Dial("tcp4", proxy.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		far, err = target.Accept()
 		Expect(err).NotTo(HaveOccurred())
