packet: sum checksums 32 bits at a time

Cause: Parse and AppendReset added checksums 16 bits at a time. Change: add 32-bit words and fold at the end; name the guarded failure in specs that did not.

--- a/internal/lab/action_test.go
+++ b/internal/lab/action_test.go
@@ -29,6 +29,7 @@
 		}),
 	)
 
+	// Guards against a mistyped fault that is left out of a run without a word.
 	DescribeTable("refuses what it does not know",
 		func(text string) {
 			_, err := ParseTimed(text)
@@ -64,6 +65,7 @@
 		}
 	})
 
+	// Guards against a stream that is read on after it has lost its boundaries.
 	DescribeTable("refuses a malformed line",
 		func(text string) {
 			_, _, err := parseMessage([]byte(text))
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -88,6 +88,7 @@
 		Expect(r.Violations()).To(ContainElement(ContainSubstring("broken connections")))
 	})
 
+	// Guards against a missing account of P6, new work for a draining backend server.
 	It("counts flows that reach a backend server long after it began to drain", func() {
 		site := newSite(1, 1, 2)
 		site.config.Callers[0].RequestsPerConnection = 1
@@ -174,6 +175,7 @@
 		Expect(l.Stop(context.Background())).To(Succeed())
 	})
 
+	// Guards against a panic of the calling duty in the middle of a run.
 	It("refuses callers without an address", func() {
 		site := newSite(1, 1, 1)
 		site.config.Callers[0].Addresses = []netip.Addr{}
--- a/internal/packet/geneve_test.go
+++ b/internal/packet/geneve_test.go
@@ -63,6 +63,7 @@
 		}
 	})
 
+	// Guards against a fabric that must parse options it does not know.
 	It("has no option without a hand-off", func() {
 		encoded := packet.AppendGeneve(nil, 5, nil)
 		Expect(encoded).To(HaveLen(packet.HeaderLen))
@@ -77,6 +78,7 @@
 		return serialize(&g, gopacket.Payload(inner))
 	}
 
+	// Guards against dropping the packets of a fabric that adds options of its own.
 	It("skips an unknown option", func() {
 		var g packet.Geneve
 		Expect(packet.DecodeGeneve(withOption(layers.GeneveOption{Class: 1, Type: 2, Data: make([]byte, 8)}), &g)).To(Succeed())
@@ -114,6 +116,7 @@
 		Entry("name too long", func(b []byte) []byte { b[2] = 64; return append(b, make([]byte, 64)...) }),
 	)
 
+	// Guards against a cut name that stands for another host.
 	It("refuses a host name that does not fit", func() {
 		_, err := packet.NewHostName(strings.Repeat("h", packet.MaxHostName+1))
 		Expect(err).To(Equal(packet.ErrNameLength))
--- a/internal/packet/headers_test.go
+++ b/internal/packet/headers_test.go
@@ -40,6 +40,7 @@
 		Expect(h.IsNewFlow()).To(BeFalse())
 	})
 
+	// Guards against UDP services whose ports are read as TCP fields.
 	It("reads UDP fields", func() {
 		h := parsed(udpPacket(caller, service, []byte("hello")))
 		Expect(h.Src).To(Equal(caller))
@@ -132,6 +133,7 @@
 		Expect(h.Dst).To(Equal(caller))
 	})
 
+	// Guards against a caller that waits for its SYN's timeout because the reset acknowledges nothing.
 	It("acknowledges a segment that has no acknowledgement", func() {
 		h, _ := reset(layers.TCP{SYN: true, Seq: 0xffffffff}, "ab")
 		Expect(h.Flags).To(Equal(packet.RST | packet.ACK))
--- a/internal/packet/rewrite.go
+++ b/internal/packet/rewrite.go
@@ -86,18 +86,25 @@
 	return uint32(^binary.BigEndian.Uint16(b[0:2])) + uint32(^binary.BigEndian.Uint16(b[2:4]))
 }
 
-// sum adds the 16-bit words of b (RFC 1071). A packet has at most 32768 words,
-// so the sum fits in 32 bits.
+// sum adds the 16-bit words of b in one's complement (RFC 1071). It adds 32 bits
+// at a time, since 2^16 is 1 modulo 2^16-1; the 16384 additions of the longest
+// packet fit in 64 bits.
 func sum(b []byte) uint32 {
-	var s uint32
-	for len(b) >= 2 {
-		s += uint32(b[0])<<8 | uint32(b[1])
+	var s uint64
+	for len(b) >= 4 {
+		s += uint64(binary.BigEndian.Uint32(b))
+		b = b[4:]
+	}
+	if len(b) >= 2 {
+		s += uint64(binary.BigEndian.Uint16(b))
 		b = b[2:]
 	}
 	if len(b) == 1 {
-		s += uint32(b[0]) << 8
+		s += uint64(b[0]) << 8
 	}
-	return s
+	s = s>>32 + s&0xffffffff
+	s = s>>16 + s&0xffff
+	return uint32(s>>16 + s&0xffff)
 }
 
 func fold(s uint32) uint16 {
