--- a/internal/flow/adapter.go
+++ b/internal/flow/adapter.go
@@ -10,14 +10,13 @@
 // directoryTable presents the replicated directory as a Table.
 type directoryTable struct{ *directory.State }
 
-// TableOf returns the view of a directory that the engine needs. It reads the
-// directory at each call, so that it follows further entries.
+// TableOf returns the view of a directory that the engine needs.
 func TableOf(s *directory.State) Table { return directoryTable{s} }
 
 func serviceOf(s *directory.ServiceState) Service {
 	return Service{
 		Name: s.Name, Address: s.Address, Protocol: uint8(s.Protocol), Buckets: s.Buckets(),
-		BalanceFirst: s.Priority == document.BalanceFirst, Quarantined: s.Quarantined,
+		BalanceFirst: s.Priority == document.BalanceFirst, Quarantined: s.Quarantined, Table: s,
 	}
 }
 
@@ -39,15 +38,6 @@
 	return serviceOf(s), true
 }
 
-// Bucket implements Table.
-func (t directoryTable) Bucket(service string, number int) (directory.Bucket, bool) {
-	s, ok := t.State.Service(service)
-	if !ok {
-		return directory.Bucket{}, false
-	}
-	return s.Bucket(number), true
-}
-
 // EndpointsAt implements Table.
 func (t directoryTable) EndpointsAt(address netip.AddrPort) []directory.EndpointID {
 	return t.InstancesAt(address)
--- a/internal/flow/embryo.go
+++ b/internal/flow/embryo.go
@@ -105,8 +105,8 @@
 		return
 	}
 	number := one.key.hash() & uint64(svc.Buckets-1)
-	b, ok := e.table.Bucket(svc.Name, int(number))
-	if !ok || b.Next == 0 {
+	b := svc.Table.Bucket(int(number))
+	if b.Next == 0 {
 		return
 	}
 	home, ok := e.endpointDomain(b.Next)
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -57,6 +57,10 @@
 	listed  map[string]directory.Host // hosts of the table
 	domains map[string]DomainID
 
+	services map[uint64]*Service // by packed address; found in the present table so far
+	backends map[uint64]*Service // by the packed address of a present endpoint
+	scratch  Handoff             // of the packet that is being decided
+
 	lastContact time.Duration
 	freshSince  time.Duration // end of the last fence
 	alive       map[directory.EndpointID]heard
@@ -78,6 +82,8 @@
 		peers:    map[string]*peer{},
 		listed:   map[string]directory.Host{},
 		domains:  map[string]DomainID{},
+		services: map[uint64]*Service{},
+		backends: map[uint64]*Service{},
 		alive:    map[directory.EndpointID]heard{},
 		wasWhole: true,
 	}
@@ -106,11 +112,15 @@
 // DomainIDOf returns the identifier of a failure domain in hand-offs and records.
 func DomainIDOf(name string) DomainID { return DomainID(uint32(xxhash.Sum64String(name))) }
 
-// SetTable gives the engine the directory at a new index. The table may be the
-// same object as before, with further entries applied.
+// SetTable gives the engine the directory at a new index. The table may be the same
+// object as before, with further entries applied. Call it after each entry that changes
+// hosts, endpoints or moves: a host that skips its own removal and return would
+// take its old records for a whole copy.
 func (e *Engine) SetTable(now time.Duration, t Table) {
 	e.setNow(now)
 	e.table = t
+	clear(e.services)
+	clear(e.backends)
 	clear(e.listed)
 	for _, h := range t.Hosts() {
 		e.listed[h.Name] = h
--- a/internal/flow/fence.go
+++ b/internal/flow/fence.go
@@ -95,7 +95,7 @@
 	if q.p.Handoff.Present {
 		return drop(ReasonFenced), true
 	}
-	q.h = Handoff{Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now}
+	e.beginHandOff(q)
 	return e.handOff(q, target), true
 }
 
@@ -136,7 +136,7 @@
 	if target == "" || q.p.Handoff.Present {
 		return drop(ReasonCutOff), true
 	}
-	q.h = Handoff{Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now}
+	e.beginHandOff(q)
 	return e.handOff(q, target), true
 }
 
--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -106,8 +106,8 @@
 			continue
 		}
 		for number := range svc.Buckets {
-			b, ok := e.table.Bucket(name, number)
-			if !ok || (b.Settled() && !svc.BalanceFirst) {
+			b := svc.Table.Bucket(number)
+			if b.Settled() && !svc.BalanceFirst {
 				continue
 			}
 			pl := e.planFor(&svc, &b)
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -61,11 +61,6 @@
 	if other == "" || other == e.cfg.Host {
 		return e.deliver(q, en.endpoint, en)
 	}
-	if !q.h.Present {
-		q.h = Handoff{
-			Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
-		}
-	}
 	q.h.HasRecord, q.h.Record = true, e.recordOf(en)
 	return e.handOff(q, other)
 }
@@ -80,7 +75,7 @@
 			// The backend server may accept it, and the record must then outlive the old flow.
 			en.sequence, en.flags, en.mark = q.p.Sequence, flagPlaced, 0
 		}
-		q.h = q.p.Handoff
+		e.beginHandOff(q)
 		return e.passRecord(q, en), true
 	}
 	e.forget(pos)
--- a/internal/flow/resolve.go
+++ b/internal/flow/resolve.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"encoding/binary"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -64,12 +66,12 @@
 // query is a packet with what was looked up for it.
 type query struct {
 	p      *Packet
-	svc    Service
+	svc    *Service
 	bucket directory.Bucket
 	number int
 	key    flowKey
 	hash   uint64
-	h      Handoff // continues p.Handoff
+	h      *Handoff // continues p.Handoff
 }
 
 // isFirst says whether the packet begins a flow.
@@ -91,7 +93,7 @@
 	if e.table == nil {
 		return drop(ReasonNoTable)
 	}
-	q := query{p: p}
+	q := query{p: p, h: &e.scratch}
 	if r := e.lookUp(&q); r != NoReason {
 		return drop(r)
 	}
@@ -120,45 +122,64 @@
 	return e.resolveTracked(&q)
 }
 
+// packAddress returns the key of an IPv4 address, port and protocol.
+func packAddress(a netip.AddrPort, protocol uint8) (uint64, bool) {
+	if !a.Addr().Is4() {
+		return 0, false
+	}
+	ip := a.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(ip[:]))<<32 | uint64(a.Port())<<8 | uint64(protocol), true
+}
+
 // lookUp finds the service, the flow key and the bucket of a packet.
 func (e *Engine) lookUp(q *query) Reason {
 	p := q.p
-	if p.Direction == FromCaller {
-		svc, ok := e.table.Service(p.Service, p.Protocol)
-		if !ok {
-			return ReasonNoService
+	address, known := p.Service, e.services
+	if p.Direction == FromBackend {
+		address, known = p.Backend, e.backends
+	}
+	packed, ok := packAddress(address, p.Protocol)
+	if !ok {
+		return ReasonMalformed
+	}
+	if q.svc = known[packed]; q.svc == nil {
+		svc, r := e.findService(p)
+		if r != NoReason {
+			return r
 		}
-		q.svc = svc
-	} else if r := e.lookUpBackend(q); r != NoReason {
-		return r
+		q.svc = &svc
+		known[packed] = q.svc
 	}
-	var ok bool
 	if q.key, ok = makeKey(p.Caller, q.svc.Address, p.Protocol); !ok {
 		return ReasonMalformed
 	}
 	q.hash = q.key.hash()
 	q.number = int(q.hash & uint64(q.svc.Buckets-1))
-	if q.bucket, ok = e.table.Bucket(q.svc.Name, q.number); !ok {
-		return ReasonNoEndpoint
-	}
+	q.bucket = q.svc.Table.Bucket(q.number)
 	return NoReason
 }
 
-// lookUpBackend finds the service of a response by its source. Only one endpoint at
-// an address can be present; earlier instances there are tombstones.
-func (e *Engine) lookUpBackend(q *query) Reason {
-	for _, id := range e.table.EndpointsAt(q.p.Backend) {
+// findService finds the service of a packet in the table. A response is of the service of
+// its source: only one endpoint at an address can be present, and earlier
+// instances there are tombstones.
+func (e *Engine) findService(p *Packet) (Service, Reason) {
+	if p.Direction == FromCaller {
+		svc, ok := e.table.Service(p.Service, p.Protocol)
+		if !ok {
+			return svc, ReasonNoService
+		}
+		return svc, NoReason
+	}
+	for _, id := range e.table.EndpointsAt(p.Backend) {
 		ep, ok := e.table.Endpoint(id)
 		if !ok || ep.State == directory.Removed {
 			continue
 		}
-		svc, ok := e.table.ServiceNamed(ep.Service)
-		if ok && svc.Protocol == q.p.Protocol {
-			q.svc = svc
-			return NoReason
+		if svc, ok := e.table.ServiceNamed(ep.Service); ok && svc.Protocol == p.Protocol {
+			return svc, NoReason
 		}
 	}
-	return ReasonWrongEndpoint
+	return Service{}, ReasonWrongEndpoint
 }
 
 // resolveSettled applies rules 1 and 3: every flow is on the current endpoint.
@@ -207,14 +228,19 @@
 			return v
 		}
 	}
-	q.h = q.p.Handoff
+	e.beginHandOff(q)
+	return e.ask(q)
+}
+
+// beginHandOff continues the packet's hand-off, or begins one.
+func (e *Engine) beginHandOff(q *query) {
+	*q.h = q.p.Handoff
 	q.h.HasRecord = false
 	if !q.h.Present {
-		q.h = Handoff{
+		*q.h = Handoff{
 			Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
 		}
 	}
-	return e.ask(q)
 }
 
 // useKnown answers from a record that this host holds, or from a fresh hint.
@@ -285,7 +311,7 @@
 // ask hands the packet to the next holder that may have a record, or concludes
 // that there is none if this host is the last one.
 func (e *Engine) ask(q *query) Verdict {
-	pl := e.planFor(&q.svc, &q.bucket)
+	pl := e.planFor(q.svc, &q.bucket)
 	if pl.overflow {
 		return drop(ReasonNoHolder)
 	}
@@ -368,7 +394,7 @@
 	if q.h.Hops > maxHops {
 		return drop(ReasonTooManyHops)
 	}
-	return Verdict{Action: HandOff, Host: target, Handoff: q.h}
+	return Verdict{Action: HandOff, Host: target, Handoff: *q.h}
 }
 
 // withoutRecord resolves a packet of a flow for which no holder has a record: it
--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -19,11 +19,17 @@
 	Buckets      int  // a power of two
 	BalanceFirst bool // every flow gets a record and is placed by load
 	Quarantined  bool // released: old flows continue, new ones are refused
+	Table        Buckets
+}
+
+// Buckets reads the buckets of one service.
+type Buckets interface {
+	Bucket(number int) directory.Bucket
 }
 
 // Table is the engine's view of the directory at one index of the log. All
-// hosts at the same index have equal tables. The engine keeps no reference to
-// what the methods return.
+// hosts at the same index have equal tables. The engine keeps what the methods
+// return until the next call of SetTable, which must follow each change.
 type Table interface {
 	// Index is the index of the last applied entry.
 	Index() uint64
@@ -33,8 +39,6 @@
 	Service(address netip.AddrPort, protocol uint8) (Service, bool)
 	// ServiceNamed finds a service by its name, with its present address.
 	ServiceNamed(name string) (Service, bool)
-	// Bucket returns one bucket of a service.
-	Bucket(service string, number int) (directory.Bucket, bool)
 	// Endpoint finds an endpoint, tombstones included.
 	Endpoint(id directory.EndpointID) (*directory.Endpoint, bool)
 	// Accepts says whether new flows may be placed on an endpoint.
