--- a/internal/flow/embryo.go
+++ b/internal/flow/embryo.go
@@ -84,17 +84,7 @@
 		e.addressEmbryo(one, records)
 	}
 	clear(em.tracked)
-	for to, all := range records {
-		for part := range slices.Chunk(all, batchRecords) {
-			b := e.newBatch()
-			b.Records = part
-			if em.open == nil {
-				em.open = map[uint64]*openBatch{}
-			}
-			em.open[b.ID] = &openBatch{to: to, index: e.table.Index(), sent: e.now, batch: b}
-			e.send(Message{To: to, Batch: b})
-		}
-	}
+	e.push(records)
 }
 
 // addressEmbryo adds the record of an embryo for both holders, or stores it if this
@@ -118,15 +108,37 @@
 		Caller: one.key.caller(), Service: one.key.service(), Protocol: one.key[12], State: Sent,
 		Endpoint: one.endpoint, Sequence: one.sequence, Home: home,
 	}
-	pos := e.byKey[key]
+	e.spread(&r, e.byKey[key], records)
+}
+
+// spread adds a record to what both holders of a holding get, or stores it if this
+// host is one of them.
+func (e *Engine) spread(r *Record, pos uint32, records map[string][]Record) {
 	h := &e.holdings[pos]
 	for _, to := range []string{h.first, h.second} {
 		switch to {
 		case "":
 		case e.cfg.Host:
-			e.store(&r, pos, false)
+			e.store(r, pos, false)
 		default:
-			records[to] = append(records[to], r)
+			records[to] = append(records[to], *r)
+		}
+	}
+}
+
+// push sends records that their holders have not asked for. The table is acknowledged
+// once they confirm.
+func (e *Engine) push(records map[string][]Record) {
+	em := &e.embryos
+	for to, all := range records {
+		for part := range slices.Chunk(all, batchRecords) {
+			b := e.newBatch()
+			b.Records = part
+			if em.open == nil {
+				em.open = map[uint64]*openBatch{}
+			}
+			em.open[b.ID] = &openBatch{to: to, index: e.table.Index(), sent: e.now, batch: b}
+			e.send(Message{To: to, Batch: b})
 		}
 	}
 }
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -8,6 +8,7 @@
 type handover struct {
 	expected map[handoverKey]struct{} // holdings that a new holder has not confirmed
 	batches  map[uint64]handoverBatch
+	pushed   time.Duration // last unasked copy
 	done     bool
 }
 
@@ -28,6 +29,7 @@
 	e.stopping = true
 	e.handover.expected = map[handoverKey]struct{}{}
 	e.handover.batches = map[uint64]handoverBatch{}
+	e.handover.pushed = e.now
 }
 
 // Stopping says whether Stop was called.
@@ -39,6 +41,7 @@
 	if !e.stopping || e.table == nil {
 		return
 	}
+	clear(e.handover.expected)
 	for i := range e.holdings {
 		h := &e.holdings[i]
 		if h.count == 0 || h.has(e.cfg.Host) {
@@ -46,15 +49,9 @@
 		}
 		for _, to := range []string{h.first, h.second} {
 			k := handoverKey{to, h.key}
-			if to == "" || h.confirmedBy(to) {
-				continue
+			if to != "" && !h.confirmedBy(to) && e.isSource(to) {
+				e.handover.expected[k] = struct{}{}
 			}
-			e.handover.expected[k] = struct{}{}
-		}
-	}
-	for k := range e.handover.expected {
-		if !e.isSource(k.to) {
-			delete(e.handover.expected, k)
 		}
 	}
 }
@@ -83,10 +80,39 @@
 	}
 }
 
+// pushHandover sends copies that a new holder has not asked for, as when the
+// holders change again while this host stops.
+func (e *Engine) pushHandover() {
+	ho := &e.handover
+	if e.now-ho.pushed < 2*requestInterval {
+		return
+	}
+	ho.pushed = e.now
+	requests := map[string]*RecordBatch{}
+	for k := range ho.expected {
+		r := requests[k.to]
+		if r == nil {
+			r = &RecordBatch{}
+			requests[k.to] = r
+		}
+		if len(r.Holdings) < requestWindow {
+			r.Holdings = append(r.Holdings, HoldingRef{Service: k.key.service, Bucket: k.key.bucket, Home: k.key.home})
+		}
+	}
+	for to, r := range requests {
+		e.answer(to, r)
+	}
+}
+
 // tickHandover reports the end of the handover once this host holds nothing and
 // every new holder has confirmed its copy.
 func (e *Engine) tickHandover() {
-	if !e.stopping || e.handover.done || e.table == nil || len(e.handover.expected) > 0 {
+	if !e.stopping || e.handover.done || e.table == nil {
+		return
+	}
+	e.noteHandover()
+	if len(e.handover.expected) > 0 {
+		e.pushHandover()
 		return
 	}
 	for i := range e.holdings {
--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -265,6 +265,7 @@
 		if h.present || h.key == (holdingKey{}) {
 			continue
 		}
+		e.moveRecords(h)
 		e.clearHolding(uint32(i))
 		delete(e.byKey, h.key)
 		*h = holding{}
@@ -274,6 +275,32 @@
 	})
 }
 
+// moveRecords gives the records of a holding that left its bucket's plan to the holders
+// that are asked first now, as when a prepared move is cancelled.
+func (e *Engine) moveRecords(old *holding) {
+	svc, ok := e.table.ServiceNamed(old.key.service)
+	if !ok || old.head == 0 {
+		return
+	}
+	b := svc.Table.Bucket(int(old.key.bucket))
+	pl := e.planFor(&svc, &b)
+	if pl.length == 0 {
+		return // settled
+	}
+	key := holdingKey{old.key.service, old.key.bucket, pl.steps[0].home}
+	var records []Record
+	for at := old.head; at != 0; at = e.flows.at(at).next {
+		r := e.recordOf(e.flows.at(at))
+		r.Home = key.home
+		records = append(records, r)
+	}
+	targets := map[string][]Record{}
+	for i := range records {
+		e.spread(&records[i], e.byKey[key], targets)
+	}
+	e.push(targets)
+}
+
 // dropSource stops waiting for a host that is neither listed nor reachable.
 func (e *Engine) dropSource(host string) {
 	if e.isSource(host) {
--- a/internal/flow/matrix_test.go
+++ b/internal/flow/matrix_test.go
@@ -217,6 +217,11 @@
 		c.idle, c.finish = false, 0
 	}
 	w.run(8 * time.Second)
+	for _, h := range w.hosts {
+		if h.up && h.engine.Stopping() {
+			w.violate("%s did not complete its handover", h.name)
+		}
+	}
 	return w
 }
 
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -37,12 +37,21 @@
 	if q.svc.Quarantined {
 		return 0, ReasonQuarantined
 	}
+	if e.Fenced() || e.now-e.freshSince < recoverDelay {
+		// Others may place by load meanwhile; the caller's repetition comes later.
+		if !e.CutOff() {
+			return 0, ReasonFenced
+		}
+	}
 	var candidates []directory.EndpointID
 	for _, id := range e.table.EndpointsOf(q.svc.Name) {
 		if e.refusal(q, id) == NoReason {
 			candidates = append(candidates, id)
 		}
 	}
+	if len(candidates) == 0 && e.Fenced() {
+		return 0, ReasonCutOff
+	}
 	if len(candidates) == 0 {
 		return 0, NoReason
 	}
