--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -10,6 +10,9 @@
 const (
 	// retiredLife is how long a former holder keeps records for the new ones to copy.
 	retiredLife = 10 * time.Minute
+	// copyPatience ends the wait for a holder that is itself still waiting, as when all
+	// hosts start at once and none has the records any more.
+	copyPatience = 10 * time.Second
 	// requestInterval is the time between requests for copies that are not answered.
 	requestInterval = 500 * time.Millisecond
 	// requestWindow bounds the holdings of one request, and so the burst of records.
@@ -42,6 +45,7 @@
 	confirmed []string
 	lostAt    stamp
 	asked     time.Duration // last request for a copy
+	since     stamp         // begin of the wait
 	head      uint32        // records
 	count     uint32
 }
@@ -59,6 +63,12 @@
 	return h.whole || (h.lostAt != 0 && now.since(h.lostAt) > closedLife)
 }
 
+// mayDeny says whether this host may say that there is no record. After a loss, that is
+// safe only for first packets and only when their repetitions have ended.
+func (h *holding) mayDeny(first bool, now stamp) bool {
+	return h.whole || (first && h.lostAt != 0 && now.since(h.lostAt) > closedLife)
+}
+
 // holds says whether this host is a holder of the holding.
 func (e *Engine) holds(pos uint32) bool { return pos != 0 && e.holdings[pos].has(e.cfg.Host) }
 
@@ -106,8 +116,8 @@
 			continue
 		}
 		for number := range svc.Buckets {
-			b, ok := e.table.Bucket(name, number)
-			if !ok || (b.Settled() && !svc.BalanceFirst) {
+			b := svc.Table.Bucket(number)
+			if b.Settled() && !svc.BalanceFirst {
 				continue
 			}
 			pl := e.planFor(&svc, &b)
@@ -223,6 +233,7 @@
 		e.finishIfAnswered(h)
 		return
 	}
+	h.since = e.clock
 	if !slices.Contains(e.pending, pos) {
 		e.pending = append(e.pending, pos)
 	}
@@ -254,6 +265,7 @@
 		if h.present || h.key == (holdingKey{}) {
 			continue
 		}
+		e.moveRecords(h)
 		e.clearHolding(uint32(i))
 		delete(e.byKey, h.key)
 		*h = holding{}
@@ -263,6 +275,32 @@
 	})
 }
 
+// moveRecords gives the records of a holding that left its bucket's plan to the holders
+// that are asked first now, as when a prepared move is cancelled.
+func (e *Engine) moveRecords(old *holding) {
+	svc, ok := e.table.ServiceNamed(old.key.service)
+	if !ok || old.head == 0 {
+		return
+	}
+	b := svc.Table.Bucket(int(old.key.bucket))
+	pl := e.planFor(&svc, &b)
+	if pl.length == 0 {
+		return // settled
+	}
+	key := holdingKey{old.key.service, old.key.bucket, pl.steps[0].home}
+	var records []Record
+	for at := old.head; at != 0; at = e.flows.at(at).next {
+		r := e.recordOf(e.flows.at(at))
+		r.Home = key.home
+		records = append(records, r)
+	}
+	targets := map[string][]Record{}
+	for i := range records {
+		e.spread(&records[i], e.byKey[key], targets)
+	}
+	e.push(targets)
+}
+
 // dropSource stops waiting for a host that is neither listed nor reachable.
 func (e *Engine) dropSource(host string) {
 	if e.isSource(host) {
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -37,12 +37,21 @@
 	if q.svc.Quarantined {
 		return 0, ReasonQuarantined
 	}
+	if e.Fenced() || e.now-e.freshSince < recoverDelay {
+		// Others may place by load meanwhile; the caller's repetition comes later.
+		if !e.CutOff() {
+			return 0, ReasonFenced
+		}
+	}
 	var candidates []directory.EndpointID
 	for _, id := range e.table.EndpointsOf(q.svc.Name) {
 		if e.refusal(q, id) == NoReason {
 			candidates = append(candidates, id)
 		}
 	}
+	if len(candidates) == 0 && e.Fenced() {
+		return 0, ReasonCutOff
+	}
 	if len(candidates) == 0 {
 		return 0, NoReason
 	}
@@ -61,11 +70,6 @@
 	if other == "" || other == e.cfg.Host {
 		return e.deliver(q, en.endpoint, en)
 	}
-	if !q.h.Present {
-		q.h = Handoff{
-			Present: true, Service: q.svc.Name, Bucket: uint32(q.number), Ingress: e.cfg.Host, AskedAt: e.now,
-		}
-	}
 	q.h.HasRecord, q.h.Record = true, e.recordOf(en)
 	return e.handOff(q, other)
 }
@@ -80,7 +84,7 @@
 			// The backend server may accept it, and the record must then outlive the old flow.
 			en.sequence, en.flags, en.mark = q.p.Sequence, flagPlaced, 0
 		}
-		q.h = q.p.Handoff
+		e.beginHandOff(q)
 		return e.passRecord(q, en), true
 	}
 	e.forget(pos)
