Bound the messages of a member whose storage hangs

Cause: messages wait for the sync of the Ready before them, so a sync that hangs let the queue grow without bound. Change: send drops messages above 1024; a dropped message is like a lost one. A spec covers a real folder with restarts and torn records.

--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -213,6 +213,18 @@
 		Expect(snapshots).To(Equal(2))
 	})
 
+	// Guards against a queue that grows without bound while a sync hangs.
+	It("bounds the messages that wait for storage", func() {
+		n := newMember(changelog.Config{}, changelog.HardState{})
+		elect(n)
+		n.Ready()
+		for range 3000 {
+			n.Step(changelog.Message{Kind: changelog.KindJoin, From: 1, To: 3})
+		}
+		n.Advance()
+		Expect(len(n.Ready().Messages)).To(Equal(1024))
+	})
+
 	// Guards against one round trip for each entry of a log that diverged.
 	It("skips a conflicting term at a time", func() {
 		entries := make([]changelog.Entry, 50)
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -11,6 +11,10 @@
 // that catches up keeps answering messages.
 const maxApplyBytes = 1 << 20
 
+// maxQueued bounds the messages that wait while the storage is slow. Further
+// ones are dropped, which the protocol treats like a loss on the network.
+const maxQueued = 1024
+
 // Node is one member of the group. It is used by one goroutine.
 type Node struct {
 	cfg    Config
@@ -107,7 +111,7 @@
 	}
 }
 
-// Propose appends data to the log of the leader. The entry is committed when
+// Propose appends data to the log of the leader and keeps the slice. The entry is committed when
 // an entry with this index and term appears in Committed; when the index
 // appears with another term, the proposal is lost.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
@@ -184,6 +188,9 @@
 
 // send queues a message of the current term.
 func (n *Node) send(m Message) {
+	if len(n.messages) >= maxQueued {
+		return
+	}
 	m.From = n.cfg.ID
 	if m.Term == 0 {
 		m.Term = n.hs.Term
@@ -251,7 +258,7 @@
 }
 
 // Compact takes over the application's state after the entry index, which
-// must be applied, and drops the entries that it covers.
+// must be applied, and drops the entries that it covers. It keeps the slice.
 func (n *Node) Compact(index uint64, state []byte) error {
 	if err := n.log.compact(index, state, uint64(n.cfg.KeepEntries)); err != nil {
 		return err
--- a/internal/changelog/wal/wal_test.go
+++ b/internal/changelog/wal/wal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -139,6 +140,27 @@
 		Expect(rec.Entries).To(Equal([]changelog.Entry{entry(3, 4)}))
 	})
 
+	// Guards against a folder of the operating system that behaves differently
+	// from the fake one.
+	It("continues in a real folder after a restart and a torn record", func() {
+		path := GinkgoT().TempDir() + "/data"
+		dir, err := wal.NewDir(path)
+		Expect(err).NotTo(HaveOccurred())
+		snapshot := changelog.Snapshot{Index: 1, Term: 1, State: []byte("state")}
+		for i := range uint64(3) {
+			s, rec, err := wal.Open(dir)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rec.Entries).To(HaveLen(int(i)))
+			Expect(rec.TornBytes).To(Equal(5 * min(1, int(i))))
+			Expect(s.Save(changelog.Ready{Snapshot: &snapshot, Entries: []changelog.Entry{entry(i+2, 1)}})).To(Succeed())
+			Expect(s.Close()).To(Succeed())
+			log, err := os.OpenFile(fmt.Sprintf("%s/log-%016d", path, i+2), os.O_WRONLY|os.O_APPEND, 0)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = log.WriteString("torn!")
+			Expect(errors.Join(err, log.Close())).To(Succeed())
+		}
+	})
+
 	// Guards against a start that fails because a crash came between the
 	// removals of log files that an installed snapshot has replaced.
 	It("reads what is left when the removal of replaced files is interrupted", func() {
