--- /dev/null
+++ b/internal/request/attempts.go
@@ -0,0 +1,173 @@
+package request
+
+import (
+	"slices"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+)
+
+// match finds the request whose present attempt in flight is the given one.
+// Late, doubled and crossed messages match nothing and are dropped.
+func (m *Machine) match(id ID, a Attempt) *request {
+	r := m.requests[id]
+	if r == nil || r.phase == waiting || m.attempt(r) != a {
+		return nil
+	}
+	return r
+}
+
+func (m *Machine) confirmSent(e Sent) {
+	r := m.match(e.ID, e.Attempt)
+	if r == nil || r.phase != sending {
+		return
+	}
+	r.phase = sent
+	if r.gone {
+		m.lost(r)
+	}
+}
+
+// notSent handles an attempt of which nothing left, so that even a
+// non-idempotent request may be sent again.
+func (m *Machine) notSent(e NotSent) {
+	r := m.match(e.ID, e.Attempt)
+	if r == nil || r.phase != sending {
+		return
+	}
+	m.endAttempt(r, balance.Refused)
+	m.retryOr(r, true, m.unrun(r))
+}
+
+// answer passes an answer on only if it is that of the present attempt and
+// comes from the endpoint that the attempt went to.
+func (m *Machine) answer(e Answer) {
+	r := m.match(e.ID, e.Attempt)
+	if r == nil || r.endpoint != e.Endpoint {
+		return
+	}
+	if !e.Failed {
+		m.endAttempt(r, balance.Answered)
+		m.reply(r, OutcomeAnswered)
+		return
+	}
+	m.endAttempt(r, balance.Refused)
+	r.mayRun = true
+	m.retryOr(r, r.idempotent, OutcomeAnswered)
+}
+
+// refused handles a refusal before running. It proves that the attempt did not
+// run, but bytes were sent, so a non-idempotent request is not sent again.
+func (m *Machine) refused(e Refused) {
+	r := m.match(e.ID, e.Attempt)
+	if r == nil || r.endpoint != e.Endpoint {
+		return
+	}
+	m.endAttempt(r, balance.Refused)
+	m.retryOr(r, r.idempotent, m.unrun(r))
+}
+
+// lost handles an attempt that may have run and whose answer cannot come.
+func (m *Machine) lost(r *request) {
+	m.endAttempt(r, balance.Lost)
+	r.mayRun = true
+	m.retryOr(r, r.idempotent, OutcomeUnknown)
+}
+
+// unrun is the outcome of a request whose last attempt did not run.
+func (m *Machine) unrun(r *request) Outcome {
+	if r.mayRun {
+		return OutcomeUnknown
+	}
+	return OutcomeNotRun
+}
+
+// endAttempt tells the placer and the breaker how an attempt ended.
+func (m *Machine) endAttempt(r *request, result balance.Result) {
+	m.placer.Done(r.endpoint, result, m.now-r.started)
+	if m.cfg.BreakerFailures > 0 {
+		m.breaker(r.endpoint).Ended(m.now, result)
+	}
+}
+
+// retryOr queues a further attempt if it is safe, there is time for it and the
+// budget allows it; otherwise it replies with the given outcome.
+func (m *Machine) retryOr(r *request, safe bool, otherwise Outcome) {
+	affordable := m.cfg.RetryBudget == 0 || m.tokens >= 1
+	if !safe || !affordable || r.attempt >= m.cfg.MaxAttempts || m.now >= r.deadline {
+		m.reply(r, otherwise)
+		return
+	}
+	if m.cfg.RetryBudget > 0 {
+		m.tokens--
+	}
+	r.phase = waiting
+	m.retries.push(r)
+}
+
+// reply ends a request.
+func (m *Machine) reply(r *request, outcome Outcome) {
+	r.ended = true
+	delete(m.requests, r.id)
+	m.effects = append(m.effects, Reply{ID: r.id, Outcome: outcome, Attempt: m.attempt(r)})
+}
+
+// abandon ends a request that was cancelled or whose deadline has passed, and
+// passes the cancellation on.
+func (m *Machine) abandon(r *request, result balance.Result) {
+	if r.phase == waiting {
+		if r.attempt == 0 {
+			m.queue.live--
+		} else {
+			m.retries.live--
+		}
+		m.reply(r, m.unrun(r))
+		return
+	}
+	m.effects = append(m.effects, CancelUpstream{ID: r.id, Attempt: m.attempt(r), Endpoint: r.endpoint})
+	m.endAttempt(r, result)
+	m.reply(r, OutcomeUnknown)
+}
+
+// expire ends the requests whose deadline has passed, in the order of their IDs.
+func (m *Machine) expire() {
+	var over []*request
+	for _, r := range m.requests {
+		if m.now >= r.deadline {
+			over = append(over, r)
+		}
+	}
+	m.inOrder(over, func(r *request) { m.abandon(r, balance.Lost) })
+}
+
+// endpointGone ends the attempts at a backend server that ended.
+func (m *Machine) endpointGone(id directory.EndpointID) {
+	m.endpoints = slices.DeleteFunc(m.endpoints, func(e directory.EndpointID) bool { return e == id })
+	var hit []*request
+	for _, r := range m.requests {
+		if r.phase != waiting && r.endpoint == id {
+			hit = append(hit, r)
+		}
+	}
+	m.inOrder(hit, func(r *request) {
+		if r.phase == sending {
+			r.gone = true
+			return
+		}
+		m.lost(r)
+	})
+}
+
+// inOrder calls f in the order of the IDs, because the order of a map would
+// make a run depend on more than its seed.
+func (m *Machine) inOrder(requests []*request, f func(*request)) {
+	slices.SortFunc(requests, func(a, b *request) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	for _, r := range requests {
+		f(r)
+	}
+}
--- /dev/null
+++ b/internal/request/machine.go
@@ -0,0 +1,243 @@
+package request
+
+import (
+	"slices"
+	"time"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+)
+
+const (
+	defaultMaxAttempts = 3
+	defaultMaxWaiting  = 1024
+	// fitAnswers is the number of mean answer times that must be left until the
+	// deadline at admission: an exponentially distributed time is shorter than
+	// three means with probability 0.95.
+	fitAnswers = 3
+)
+
+// phase is the state of a request that has not been replied to.
+type phase uint8
+
+const (
+	waiting phase = iota
+	sending       // Send was issued, neither Sent nor NotSent has come
+	sent
+)
+
+// request is one request until its reply.
+type request struct {
+	id         ID
+	idempotent bool
+	deadline   time.Duration
+	key        string
+	flow       uint64
+
+	phase    phase
+	attempt  int
+	endpoint directory.EndpointID
+	started  time.Duration
+	mayRun   bool // an earlier attempt may have run
+	ended    bool
+	gone     bool // the endpoint ended while the sending was in progress
+}
+
+// Machine decides on the requests of one service at one entry host.
+type Machine struct {
+	cfg       Config
+	placer    Placer
+	now       time.Duration
+	endpoints []directory.EndpointID
+	allowed   []directory.EndpointID // endpoints whose breaker is closed
+	breakers  map[directory.EndpointID]*balance.Breaker
+	requests  map[ID]*request
+	queue     fifo // first attempts
+	retries   fifo // further attempts, which have waited before
+	tokens    float64
+	effects   []Effect
+}
+
+// New returns a machine without endpoints.
+func New(cfg Config, placer Placer) *Machine {
+	if cfg.MaxAttempts == 0 {
+		cfg.MaxAttempts = defaultMaxAttempts
+	}
+	if cfg.MaxWaiting == 0 {
+		cfg.MaxWaiting = defaultMaxWaiting
+	}
+	return &Machine{
+		cfg: cfg, placer: placer, requests: map[ID]*request{}, tokens: cfg.RetryReserve,
+		breakers: map[directory.EndpointID]*balance.Breaker{},
+	}
+}
+
+// Step takes one event and returns what to do. The result is valid until the next call.
+func (m *Machine) Step(now time.Duration, event Event) []Effect {
+	m.now = max(m.now, now)
+	m.placer.Advance(m.now)
+	m.effects = m.effects[:0]
+	switch e := event.(type) {
+	case Endpoints:
+		m.endpoints = slices.Clone(e.IDs)
+	case Arrive:
+		m.arrive(e)
+	case Cancel:
+		if r := m.requests[e.ID]; r != nil {
+			m.abandon(r, balance.Cancelled)
+		}
+	case Sent:
+		m.confirmSent(e)
+	case NotSent:
+		m.notSent(e)
+	case Answer:
+		m.answer(e)
+	case Refused:
+		m.refused(e)
+	case Lost:
+		if r := m.match(e.ID, e.Attempt); r != nil {
+			m.lost(r)
+		}
+	case EndpointGone:
+		m.endpointGone(e.Endpoint)
+	case Tick:
+		m.expire()
+	}
+	m.dispatch()
+	return m.effects
+}
+
+// Waiting is the number of requests that wait for a slot.
+func (m *Machine) Waiting() int { return m.queue.live + m.retries.live }
+
+// InFlight is the number of requests that have been sent and not replied to.
+func (m *Machine) InFlight() int { return len(m.requests) - m.Waiting() }
+
+func (m *Machine) arrive(e Arrive) {
+	if m.requests[e.ID] != nil {
+		return // a doubled event; the first one is being served
+	}
+	m.tokens = min(m.tokens+m.cfg.RetryBudget, max(m.cfg.RetryReserve, 1))
+	r := &request{id: e.ID, idempotent: e.Idempotent, deadline: e.Deadline, key: e.Key, flow: e.Flow}
+	if m.cfg.IdempotencyKey && e.Key != "" {
+		r.idempotent = true
+	}
+	if m.now >= e.Deadline || m.Waiting() >= m.cfg.MaxWaiting || !m.fits(r) {
+		m.effects = append(m.effects, Reply{ID: e.ID, Outcome: OutcomeNotRun})
+		return
+	}
+	m.requests[e.ID] = r
+	m.queue.push(r)
+}
+
+// fits reports whether the expected wait and answer fit the deadline.
+func (m *Machine) fits(r *request) bool {
+	if !m.cfg.EarlyRefusal {
+		return true
+	}
+	wait, service := m.placer.ExpectedWait(m.Waiting(), m.open())
+	return m.now+wait+fitAnswers*service <= r.deadline
+}
+
+// open lists the endpoints whose breaker lets an attempt through.
+func (m *Machine) open() []directory.EndpointID {
+	if m.cfg.BreakerFailures == 0 {
+		return m.endpoints
+	}
+	m.allowed = m.allowed[:0]
+	for _, id := range m.endpoints {
+		if m.breaker(id).Allows(m.now) {
+			m.allowed = append(m.allowed, id)
+		}
+	}
+	return m.allowed
+}
+
+func (m *Machine) breaker(id directory.EndpointID) *balance.Breaker {
+	b := m.breakers[id]
+	if b == nil {
+		b = &balance.Breaker{Failures: m.cfg.BreakerFailures, Pause: m.cfg.BreakerPause}
+		m.breakers[id] = b
+	}
+	return b
+}
+
+// dispatch sends waiting requests while an endpoint has a free slot.
+func (m *Machine) dispatch() {
+	for {
+		q := &m.retries
+		r := q.peek()
+		if r == nil {
+			q = &m.queue
+			r = q.peek()
+		}
+		if r == nil {
+			return
+		}
+		if m.now >= r.deadline {
+			m.abandon(r, balance.Lost)
+			continue
+		}
+		id := m.placer.Place(r.flow, m.open())
+		if id == 0 {
+			return
+		}
+		q.pop()
+		m.send(r, id)
+	}
+}
+
+func (m *Machine) send(r *request, id directory.EndpointID) {
+	r.phase, r.endpoint, r.started, r.gone = sending, id, m.now, false
+	r.attempt++
+	m.placer.Sent(id)
+	if m.cfg.BreakerFailures > 0 {
+		m.breaker(id).Sent()
+	}
+	s := Send{ID: r.id, Attempt: m.attempt(r), Endpoint: id}
+	if m.cfg.PropagateDeadline {
+		s.Deadline = r.deadline
+	}
+	if m.cfg.IdempotencyKey {
+		s.Key = r.key
+	}
+	m.effects = append(m.effects, s)
+}
+
+func (m *Machine) attempt(r *request) Attempt {
+	return Attempt{Incarnation: m.cfg.Incarnation, Number: r.attempt}
+}
+
+// fifo is a queue whose ended members are skipped. It keeps its room.
+type fifo struct {
+	items []*request
+	head  int
+	live  int
+}
+
+func (f *fifo) push(r *request) {
+	if f.head > 0 && f.head*2 >= len(f.items) {
+		n := copy(f.items, f.items[f.head:])
+		clear(f.items[n:])
+		f.items, f.head = f.items[:n], 0
+	}
+	f.items = append(f.items, r)
+	f.live++
+}
+
+func (f *fifo) peek() *request {
+	for f.head < len(f.items) {
+		if r := f.items[f.head]; !r.ended {
+			return r
+		}
+		f.items[f.head] = nil
+		f.head++
+	}
+	return nil
+}
+
+func (f *fifo) pop() {
+	f.items[f.head] = nil
+	f.head++
+	f.live--
+}
