Measure load decisions in virtual time

Cause: the targets of docs/design.md, 1.6, need figures. Change: internal/experiment runs the request and balance packages over queues that stand for backend servers; cmd/cassiawood-experiment prints the tables.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -19,7 +19,7 @@
 }
 
 // purePackages hold decisions only.
-var purePackages = []string{"directory", "flow", "balance", "request", "member", "changelog", "document"}
+var purePackages = []string{"directory", "flow", "balance", "request", "member", "changelog", "document", "experiment"}
 
 // forbidden lists imports that give a pure package I/O, a clock, concurrency or
 // a global random source.
--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,124 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/request"
+)
+
+// PlacerSetup is what a placer of one entry host is made from.
+type PlacerSetup struct {
+	Host   string
+	Hosts  []string
+	Sole   bool
+	Random *rand.Rand
+}
+
+// Policy is a way to place requests.
+type Policy struct {
+	Name     string
+	Sole     bool // one host places all requests of the service
+	Records  bool // open flows keep their endpoint by flow records
+	Requests request.Config
+	Placer   func(PlacerSetup) observer
+}
+
+// requestDefaults are the switches of request.Config that the measurements support.
+func requestDefaults() request.Config { return request.Config{EarlyRefusal: true} }
+
+// picturePolicy is cassiawood's policy with the given parameters.
+func picturePolicy(name string, sole bool, parameters balance.Config, requests request.Config) Policy {
+	return Policy{
+		Name: name, Sole: sole, Records: true, Requests: requests,
+		Placer: func(s PlacerSetup) observer {
+			c := parameters
+			c.Host, c.Hosts, c.Sole = s.Host, s.Hosts, s.Sole
+			return balance.New(c, s.Random)
+		},
+	}
+}
+
+// OnePlacer is cassiawood's policy with one placing host for each service.
+func OnePlacer() Policy {
+	return picturePolicy("cassiawood", true, balance.Config{Backlog: 1}, requestDefaults())
+}
+
+// EachHost is cassiawood's policy with every entry host placing on its own.
+func EachHost() Policy {
+	return picturePolicy("cassiawood, each host", false, balance.Config{Backlog: 1}, requestDefaults())
+}
+
+// Policies lists cassiawood's policies and the baselines. The baselines send at
+// once, without admission, and retry idempotent requests up to three attempts.
+func Policies() []Policy {
+	return []Policy{
+		OnePlacer(), EachHost(),
+		baseline("consistent hashing", false, chooseByHash),
+		baseline("round robin", true, chooseInTurn),
+		baseline("two random choices", true, chooseOfTwo),
+		baseline("least connections", true, chooseLeast),
+	}
+}
+
+func baseline(name string, records bool, choose func(*plain, uint64, []directory.EndpointID) directory.EndpointID) Policy {
+	return Policy{
+		Name: name, Records: records,
+		Placer: func(s PlacerSetup) observer {
+			return &plain{random: s.Random, turn: s.Random.IntN(1 << 16), reports: map[directory.EndpointID]int{}, choose: choose}
+		},
+	}
+}
+
+// plain is a baseline: a choice on the last report of each endpoint and nothing else.
+type plain struct {
+	random  *rand.Rand
+	turn    int
+	reports map[directory.EndpointID]int
+	choose  func(*plain, uint64, []directory.EndpointID) directory.EndpointID
+}
+
+func (p *plain) Place(flow uint64, candidates []directory.EndpointID) directory.EndpointID {
+	if len(candidates) == 0 {
+		return 0
+	}
+	return p.choose(p, flow, candidates)
+}
+
+func (p *plain) Observe(id directory.EndpointID, r balance.Report) { p.reports[id] = r.InFlight }
+
+func (p *plain) Advance(time.Duration)                                         {}
+func (p *plain) Add(directory.EndpointID, int, bool)                           {}
+func (p *plain) Sent(directory.EndpointID)                                     {}
+func (p *plain) Done(directory.EndpointID, balance.Result, time.Duration)      {}
+func (p *plain) ExpectedWait(int, []directory.EndpointID) (_, _ time.Duration) { return 0, 0 }
+
+func chooseByHash(_ *plain, flow uint64, candidates []directory.EndpointID) directory.EndpointID {
+	return rendezvous(flow, candidates)
+}
+
+func chooseInTurn(p *plain, _ uint64, candidates []directory.EndpointID) directory.EndpointID {
+	p.turn++
+	return candidates[p.turn%len(candidates)]
+}
+
+func chooseOfTwo(p *plain, _ uint64, candidates []directory.EndpointID) directory.EndpointID {
+	a, b := candidates[p.random.IntN(len(candidates))], candidates[p.random.IntN(len(candidates))]
+	if p.reports[b] < p.reports[a] {
+		return b
+	}
+	return a
+}
+
+func chooseLeast(p *plain, _ uint64, candidates []directory.EndpointID) directory.EndpointID {
+	start := p.random.IntN(len(candidates))
+	best := candidates[start]
+	for i := range candidates {
+		if id := candidates[(start+i)%len(candidates)]; p.reports[id] < p.reports[best] {
+			best = id
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/experiment/result.go
@@ -0,0 +1,84 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Result holds the figures of one scenario with one policy.
+type Result struct {
+	Service, Scenario, Policy string
+
+	Broken        int     // flows that a change of the table took to another endpoint
+	Imbalance     float64 // mean over the windows
+	ImbalanceP99  float64
+	Refused       float64 // share of the offered requests that were not run
+	Unknown       float64 // share of the offered requests with outcome unknown
+	WaitP50       time.Duration
+	WaitP99       time.Duration
+	Amplification float64 // attempts at backend servers per request offered
+	Goodput       float64 // answers in time over capacity
+	Overfilled    int     // requests that found a cold backend server without a free slot
+	Doubled       int     // non-idempotent requests that were sent twice
+	FalseNotRun   int     // requests reported as not run that ran
+}
+
+// Run measures one scenario with one policy.
+func Run(service Service, scenario Scenario, policy Policy, seed uint64) Result {
+	r := newRun(service, policy, seed)
+	scenario.prepare(r)
+	r.start()
+	r.execute()
+	t := &r.tally
+	offered := float64(max(1, t.offered))
+	result := Result{
+		Service: service.Name, Scenario: scenario.Name, Policy: policy.Name,
+		Broken: r.flows.broken, Imbalance: t.sum / float64(max(1, t.count)),
+		ImbalanceP99: float64(t.windows.ValueAtQuantile(99)) / 1000,
+		Refused:      float64(t.refused) / offered, Unknown: float64(t.unknown) / offered,
+		WaitP50:       time.Duration(t.waiting.ValueAtQuantile(50)) * time.Microsecond,
+		WaitP99:       time.Duration(t.waiting.ValueAtQuantile(99)) * time.Microsecond,
+		Amplification: float64(t.attempts) / offered,
+		Goodput:       float64(t.good) / (service.capacityPerSecond() * (troubleTo - troubleFrom).Seconds()),
+		Doubled:       t.doubled,
+	}
+	for _, b := range r.backends {
+		result.Overfilled += b.overfilled
+	}
+	for _, k := range t.tickets {
+		if k.notRun && k.ran > 0 {
+			result.FalseNotRun++
+		}
+	}
+	return result
+}
+
+// RunAll measures every scenario of a service with every policy.
+func RunAll(service Service, scenarios []Scenario, policies []Policy, seed uint64) []Result {
+	var results []Result
+	for _, s := range scenarios {
+		for _, p := range policies {
+			results = append(results, Run(service, s, p, seed))
+		}
+	}
+	return results
+}
+
+// Print writes results as a table.
+func Print(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	scenario := ""
+	for _, r := range results {
+		if key := r.Service + ", " + r.Scenario; key != scenario {
+			scenario = key
+			fmt.Fprintf(t, "\n%s\tbroken\timbalance\tp99\trefused\tunknown\twait p50\tp99\tamplification\tgoodput\toverfilled\tdoubled\tfalse not run\n", key)
+		}
+		fmt.Fprintf(t, "  %s\t%d\t%.3f\t%.3f\t%.2f%%\t%.2f%%\t%.0f ms\t%.0f ms\t%.3f\t%.3f\t%d\t%d\t%d\n",
+			r.Policy, r.Broken, r.Imbalance, r.ImbalanceP99, 100*r.Refused, 100*r.Unknown,
+			r.WaitP50.Seconds()*1000, r.WaitP99.Seconds()*1000, r.Amplification, r.Goodput,
+			r.Overfilled, r.Doubled, r.FalseNotRun)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,269 @@
+package experiment
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/request"
+)
+
+// event is something that happens at a point in virtual time.
+type event struct {
+	at    time.Duration
+	order uint64 // keeps events of the same time in the order in which they were made
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	(*e)[len(*e)-1] = event{}
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// run is one scenario with one policy.
+type run struct {
+	service  Service
+	policy   Policy
+	now      time.Duration
+	order    uint64
+	events   events
+	random   *rand.Rand // network, service times, reports
+	arrivals *rand.Rand // apart, so that all policies see the same arrivals
+	hosts    []*host
+	backends []*backend
+	cut      int // failure domain that is cut off, or -1
+	fenced   bool
+	load     float64 // offered share of the capacity
+	lag      time.Duration
+	together bool // all hosts take their reports at once
+	flows    *flowCensus
+	tally    tally
+}
+
+// host is one entry host.
+type host struct {
+	run     *run
+	name    string
+	domain  int
+	placer  observer
+	machine *request.Machine
+}
+
+// observer is a placer that takes load reports.
+type observer interface {
+	request.Placer
+	Add(id directory.EndpointID, slots int, cold bool)
+	Observe(id directory.EndpointID, r balance.Report)
+}
+
+func newRun(service Service, policy Policy, seed uint64) *run {
+	r := &run{
+		service: service, policy: policy, cut: -1, load: steadyLoad,
+		random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)),
+	}
+	r.tally.init()
+	for i := range service.Endpoints {
+		r.backends = append(r.backends, &backend{
+			id: directory.EndpointID(i + 1), domain: service.Site.domainOf(i), inService: true,
+		})
+	}
+	var names []string
+	for i := range service.Site.Hosts {
+		names = append(names, hostName(i))
+	}
+	for i, name := range names {
+		h := &host{run: r, name: name, domain: service.Site.domainOf(i)}
+		h.placer = policy.Placer(PlacerSetup{
+			Host: name, Hosts: names, Sole: policy.Sole && balance.PlacingHost(service.Name, names) == name,
+			Random: rand.New(rand.NewPCG(seed, uint64(100+i))),
+		})
+		config := policy.Requests
+		config.Incarnation = uint64(i + 1)
+		h.machine = request.New(config, h.placer)
+		r.hosts = append(r.hosts, h)
+	}
+	return r
+}
+
+func (r *run) after(d time.Duration, do func()) {
+	r.order++
+	heap.Push(&r.events, event{at: r.now + d, order: r.order, do: do})
+}
+
+func (r *run) at(t time.Duration, do func()) { r.after(t-r.now, do) }
+
+// every calls do at regular intervals.
+func (r *run) every(interval time.Duration, do func()) {
+	r.after(interval, func() {
+		do()
+		r.every(interval, do)
+	})
+}
+
+// send delivers a message between failure domains; a cut loses it for good.
+func (r *run) send(from, to int, deliver func()) {
+	delay := localDelay
+	if from != to {
+		if r.cut >= 0 && (from == r.cut) != (to == r.cut) {
+			return
+		}
+		delay = r.service.Site.OneWay + time.Duration(r.random.ExpFloat64()*float64(meanJitter))
+		for r.random.Float64() < lossShare {
+			delay += resendAfter
+		}
+	}
+	r.after(delay, deliver)
+}
+
+// execute runs until the end.
+func (r *run) execute() {
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		if e.at > endOfRun {
+			return
+		}
+		r.now = e.at
+		e.do()
+	}
+}
+
+// start prepares endpoints, reports, ticks, arrivals and measurement.
+func (r *run) start() {
+	for _, h := range r.hosts {
+		for _, b := range r.backends {
+			if b.inService {
+				h.placer.Add(b.id, slots, false)
+			}
+		}
+		h.step(request.Endpoints{IDs: r.endpointsFor(h)})
+		h.poll()
+		r.every(10*time.Millisecond, func() { h.step(request.Tick{}) })
+	}
+	r.flows = newFlowCensus(r)
+	r.nextArrival()
+	r.at(troubleFrom, func() { r.every(imbalanceStep, r.measure) })
+}
+
+// nextArrival makes requests come as a Poisson process at random hosts.
+func (r *run) nextArrival() {
+	gap := r.arrivals.ExpFloat64() / (r.service.capacityPerSecond() * r.load)
+	r.after(time.Duration(gap*float64(time.Second)), func() {
+		h := r.hosts[r.arrivals.IntN(len(r.hosts))]
+		r.arrive(h, r.arrivals.Uint64(), r.arrivals.Float64() < idempotentShare)
+		r.nextArrival()
+	})
+}
+
+// arrive gives a new request to the host that places it.
+func (r *run) arrive(h *host, flow uint64, idempotent bool) {
+	id := r.offered(h, idempotent)
+	e := request.Arrive{ID: id, Idempotent: idempotent, Deadline: r.now + patience, Flow: flow}
+	if target := r.placingHost(h); target != h {
+		r.send(h.domain, target.domain, func() { target.step(e) })
+		return
+	}
+	h.step(e)
+}
+
+// placingHost is the host that places the flows that arrive at h.
+func (r *run) placingHost(h *host) *host {
+	if !r.policy.Sole {
+		return h
+	}
+	var names []string
+	for _, other := range r.hosts {
+		if !r.fenced || (other.domain == r.cut) == (h.domain == r.cut) {
+			names = append(names, other.name)
+		}
+	}
+	name := balance.PlacingHost(r.service.Name, names)
+	return r.hosts[slices.IndexFunc(r.hosts, func(o *host) bool { return o.name == name })]
+}
+
+// endpointsFor lists the endpoints that a host may give work.
+func (r *run) endpointsFor(h *host) []directory.EndpointID {
+	var ids []directory.EndpointID
+	for _, b := range r.backends {
+		if b.inService && (!r.fenced || (b.domain == r.cut) == (h.domain == r.cut)) {
+			ids = append(ids, b.id)
+		}
+	}
+	return ids
+}
+
+// update brings the set of endpoints to all hosts, to each after its own delay.
+func (r *run) update() {
+	for _, h := range r.hosts {
+		r.after(time.Duration(r.random.Float64()*float64(updateSpread)), func() {
+			for _, b := range r.backends {
+				if b.inService {
+					h.placer.Add(b.id, slots, b.cold)
+				}
+			}
+			if s, ok := h.placer.(interface{ SetSole(bool) }); ok && r.policy.Sole {
+				s.SetSole(r.placingHost(h) == h)
+			}
+			ids := r.endpointsFor(h)
+			r.flows.tableChanged(ids)
+			h.step(request.Endpoints{IDs: ids})
+		})
+	}
+}
+
+// poll reads the load endpoints of all backend servers, over and over.
+func (h *host) poll() {
+	r := h.run
+	first := reportEvery
+	if !r.together {
+		first = time.Duration(r.random.Float64() * float64(reportEvery))
+	}
+	r.after(first, func() {
+		h.read()
+		r.every(reportEvery, h.read)
+	})
+}
+
+func (h *host) read() {
+	r := h.run
+	for _, b := range r.backends {
+		r.send(h.domain, b.domain, func() {
+			report := balance.Report{InFlight: b.inSystem(), At: r.now}
+			if b.frozen || b.refusing {
+				report.InFlight = 0
+			}
+			r.after(r.lag, func() { r.send(b.domain, h.domain, func() { h.placer.Observe(b.id, report) }) })
+		})
+	}
+}
+
+// step gives an event to the host's machine and carries out the effects.
+func (h *host) step(e request.Event) {
+	r := h.run
+	for _, effect := range slices.Clone(h.machine.Step(r.now, e)) {
+		switch f := effect.(type) {
+		case request.Send:
+			h.step(request.Sent{ID: f.ID, Attempt: f.Attempt})
+			b := r.backends[f.Endpoint-1]
+			j := &job{from: h, id: f.ID, attempt: f.Attempt, deadline: f.Deadline, key: f.Key}
+			r.send(h.domain, b.domain, func() { r.receive(b, j) })
+		case request.CancelUpstream:
+			b := r.backends[f.Endpoint-1]
+			r.send(h.domain, b.domain, func() { r.cancel(b, f.ID, f.Attempt) })
+		case request.Reply:
+			r.replied(h, f)
+		}
+	}
+}
