Compare endpoints without the time on the way; refuse what cannot end in time

At twice the capacity 6 to 7 % of the requests were sent shortly before their deadline and ended as unknown. With every host placing on its own and reports of 3 s of age, 59 % were refused, because a limit on the estimate stopped all hosts at once. Change: the recent use leaves out the round trip; the work of other hosts is a mean over reports and ranks only; admission is by own work; a request is sent only if most answers come before its deadline, by mean and mean deviation, and always if nothing is in flight.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,6 +12,10 @@
 // gets some work and a recovery is noticed.
 const minSpeed = 0.1
 
+// answerSpread is the number of mean deviations above the mean within which
+// most answers come: 91 % of exponentially distributed ones.
+const answerSpread = 2
+
 // Choose picks the endpoint of a new flow, or 0 if there is none. It prefers
 // endpoints with a free slot and leaves a cold endpoint alone while it is full.
 // It has the signature of flow.Config.Choose.
@@ -105,11 +109,16 @@
 		return false
 	}
 	cold := p.now < l.coldEnd
-	if a == warmOnly {
+	switch {
+	case a == warmOnly:
 		return !cold
-	}
-	if !cold {
+	case cold:
+	case p.cfg.Sole:
 		return p.estimate(l) < float64(l.slots+p.cfg.Backlog)-0.5
+	default:
+		// A limit on the estimate would stop all hosts at once when their
+		// reports are old; the own work is certain.
+		return l.own < l.slots
 	}
 	limit := l.slots
 	if l.answers < coldAnswers {
@@ -128,6 +137,9 @@
 	elapsed := p.now - l.useAt
 	share := float64(elapsed) / float64(elapsed+useLife)
 	use := l.use + share*(float64(l.own)-l.use)
+	if l.latency > l.trip {
+		use *= 1 - l.trip/l.latency // what is on its way is no work at the backend server
+	}
 	slots := float64(l.slots)
 	return (p.estimate(l)+1)/(slots*speed) + p.cfg.TieWeight*use/slots
 }
@@ -174,21 +186,23 @@
 }
 
 // ExpectedWait is the time after which a request behind `ahead` others gets a
-// slot, and the mean time that an answer takes, from own answers.
-func (p *Picture) ExpectedWait(ahead int, candidates []directory.EndpointID) (wait, service time.Duration) {
+// slot, and the time within which most answers come, from own answers.
+func (p *Picture) ExpectedWait(ahead int, candidates []directory.EndpointID) (wait, answer time.Duration) {
 	slots := 0
 	for _, id := range candidates {
 		if l := p.loads[id]; l != nil && p.now >= l.retryAt {
 			slots += l.slots + p.cfg.Backlog
 		}
 	}
-	service = time.Duration(p.latency * float64(time.Second))
+	answer = seconds(p.latency + answerSpread*p.spread)
 	if slots == 0 {
-		return 0, service
+		return 0, answer
 	}
-	return time.Duration(float64(ahead) * p.latency / float64(slots) * float64(time.Second)), service
+	return seconds(float64(ahead) * p.latency / float64(slots)), answer
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // coldOwner is the host that alone sends to a cold endpoint. Hosts that ramped
 // up together would overfill its slots, because none sees the others' work.
 func coldOwner(id directory.EndpointID, hosts []string) string {
--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -47,6 +48,9 @@
 	lastBackoff  = 8 * time.Second
 	// latencyGain is the weight of one answer in the mean latency.
 	latencyGain = 0.05
+	// othersGain is the weight of one report in the work of other hosts. A report
+	// is older than most requests take, so that only a mean of several tells something.
+	othersGain = 0.3
 	// maxDistrust is the number of contradictions at which reports have no weight.
 	maxDistrust = 4
 	// frozenReports is the number of equal reports, while own answers arrive, that counts as frozen.
@@ -55,8 +59,9 @@
 
 // Report is what a load endpoint said of a backend server.
 type Report struct {
-	InFlight int
-	At       time.Duration // when it was read
+	InFlight  int
+	At        time.Duration // when it was read
+	RoundTrip time.Duration // to the backend server and back; 0 if not known
 }
 
 // Result is how an attempt ended.
@@ -85,6 +90,7 @@
 	coldEnd  time.Duration // end of slow start
 	owned    bool          // this host serves it while it is cold
 	latency  float64       // mean of own answers, in seconds
+	trip     float64       // shortest recent round trip, in seconds
 	use      float64       // decayed mean of own work in flight
 	useAt    time.Duration
 	refusals int
@@ -99,6 +105,7 @@
 	soleAt  time.Duration
 	loads   map[directory.EndpointID]*load
 	latency float64 // mean over the endpoints' answers, in seconds
+	spread  float64 // mean deviation from it
 	others  float64 // mean work of other hosts, for endpoints without a usable report
 }
 
@@ -168,7 +175,10 @@
 	} else if l.distrust > 0 && l.same == 0 {
 		l.distrust--
 	}
-	l.others = float64(max(0, r.InFlight-l.own))
+	l.others += othersGain * (float64(max(0, r.InFlight-l.own)) - l.others)
+	if trip := r.RoundTrip.Seconds(); trip > 0 {
+		l.trip = shortest(l.trip, trip)
+	}
 	l.report, l.heard, l.moved = r, true, 0
 	p.others += latencyGain * (l.others - p.others)
 }
@@ -198,11 +208,21 @@
 		l.answers++
 		l.moved++
 		l.latency = smooth(l.latency, after.Seconds())
+		p.spread = smooth(p.spread, math.Abs(after.Seconds()-p.latency))
 		p.latency = smooth(p.latency, after.Seconds())
 	case Lost, Cancelled:
 	}
 }
 
+// shortest follows the shortest round trip, because a lost message makes a trip
+// look much longer; it rises slowly when the path has become longer.
+func shortest(known, trip float64) float64 {
+	if known == 0 {
+		return trip
+	}
+	return min(trip, known*1.02)
+}
+
 // smooth adds one value to an exponential mean that starts with its first value.
 func smooth(mean, value float64) float64 {
 	if mean == 0 {
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -29,8 +29,9 @@
 // requestDefaults are the switches of request.Config that the measurements support.
 func requestDefaults() request.Config { return request.Config{EarlyRefusal: true} }
 
-// picturePolicy is cassiawood's policy with the given parameters.
-func picturePolicy(name string, sole bool, parameters balance.Config, requests request.Config) Policy {
+// PicturePolicy is cassiawood's policy with the given parameters. With sole set,
+// one host places all requests of the service.
+func PicturePolicy(name string, sole bool, parameters balance.Config, requests request.Config) Policy {
 	return Policy{
 		Name: name, Sole: sole, Records: true, Requests: requests,
 		Placer: func(s PlacerSetup) observer {
@@ -43,12 +44,12 @@
 
 // OnePlacer is cassiawood's policy with one placing host for each service.
 func OnePlacer() Policy {
-	return picturePolicy("cassiawood", true, balance.Config{Backlog: 1}, requestDefaults())
+	return PicturePolicy("cassiawood", true, balance.Config{Backlog: 1}, requestDefaults())
 }
 
 // EachHost is cassiawood's policy with every entry host placing on its own.
 func EachHost() Policy {
-	return picturePolicy("cassiawood, each host", false, balance.Config{Backlog: 1}, requestDefaults())
+	return PicturePolicy("cassiawood, each host", false, balance.Config{Backlog: 1}, requestDefaults())
 }
 
 // Policies lists cassiawood's policies and the baselines. The baselines send at
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -238,13 +238,17 @@
 
 func (h *host) read() {
 	r := h.run
+	asked := r.now
 	for _, b := range r.backends {
 		r.send(h.domain, b.domain, func() {
 			report := balance.Report{InFlight: b.inSystem(), At: r.now}
 			if b.frozen || b.refusing {
 				report.InFlight = 0
 			}
-			r.after(r.lag, func() { r.send(b.domain, h.domain, func() { h.placer.Observe(b.id, report) }) })
+			r.send(b.domain, h.domain, func() {
+				report.RoundTrip = r.now - asked
+				r.after(r.lag, func() { h.placer.Observe(b.id, report) })
+			})
 		})
 	}
 }
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -11,10 +11,6 @@
 const (
 	defaultMaxAttempts = 3
 	defaultMaxWaiting  = 1024
-	// fitAnswers is the number of mean answer times that must be left until the
-	// deadline at admission: an exponentially distributed time is shorter than
-	// three means with probability 0.95.
-	fitAnswers = 3
 )
 
 // phase is the state of a request that has not been replied to.
@@ -122,7 +118,7 @@
 	if m.cfg.IdempotencyKey && e.Key != "" {
 		r.idempotent = true
 	}
-	if m.now >= e.Deadline || m.Waiting() >= m.cfg.MaxWaiting || !m.fits(r) {
+	if m.now >= e.Deadline || m.Waiting() >= m.cfg.MaxWaiting || !m.fits(r, m.Waiting()) {
 		m.effects = append(m.effects, Reply{ID: e.ID, Outcome: OutcomeNotRun})
 		return
 	}
@@ -130,13 +126,16 @@
 	m.queue.push(r)
 }
 
-// fits reports whether the expected wait and answer fit the deadline.
-func (m *Machine) fits(r *request) bool {
-	if !m.cfg.EarlyRefusal {
+// fits reports whether the expected wait behind `ahead` requests and the answer
+// fit the deadline. An attempt that does not would use a slot and end as
+// "unknown" instead of "not run". With nothing in flight a request is always let
+// through, because without answers the expectation would never get better.
+func (m *Machine) fits(r *request, ahead int) bool {
+	if !m.cfg.EarlyRefusal || m.InFlight() == 0 {
 		return true
 	}
-	wait, service := m.placer.ExpectedWait(m.Waiting(), m.open())
-	return m.now+wait+fitAnswers*service <= r.deadline
+	wait, answer := m.placer.ExpectedWait(ahead, m.open())
+	return m.now+wait+answer <= r.deadline
 }
 
 // open lists the endpoints whose breaker lets an attempt through.
@@ -174,7 +173,7 @@
 		if r == nil {
 			return
 		}
-		if m.now >= r.deadline {
+		if m.now >= r.deadline || !m.fits(r, 0) {
 			m.abandon(r, balance.Lost)
 			continue
 		}
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -135,8 +135,9 @@
 	Place(flow uint64, candidates []directory.EndpointID) directory.EndpointID
 	Sent(id directory.EndpointID)
 	Done(id directory.EndpointID, result balance.Result, after time.Duration)
-	// ExpectedWait is the wait behind `ahead` requests and the mean time of an answer.
-	ExpectedWait(ahead int, candidates []directory.EndpointID) (wait, service time.Duration)
+	// ExpectedWait is the wait behind `ahead` requests and the time within
+	// which most answers come.
+	ExpectedWait(ahead int, candidates []directory.EndpointID) (wait, answer time.Duration)
 }
 
 // Config holds the switches of a machine. docs/MEASUREMENTS.md says what each
