Measure the switches of requests with and without each

Cause: docs/design.md, section 9, keeps an idea only if it helps; the source is "Reliability is not retry=3" (2026). Change: tables of refused waves and of each switch; crashing backend servers as a further scenario.

--- a/cmd/cassiawood-experiment/main.go
+++ b/cmd/cassiawood-experiment/main.go
@@ -13,14 +13,24 @@
 	seed := flag.Uint64("seed", 1, "seed of all random numbers")
 	service := flag.String("service", "", "only this service")
 	scenario := flag.String("scenario", "", "only this scenario")
+	table := flag.String("table", "load", "load: policies in all scenarios; ideas: switches of requests; waves: refusing dependency")
 	flag.Parse()
-	if err := run(*seed, *service, *scenario); err != nil {
+	var err error
+	switch *table {
+	case "load", "ideas":
+		err = run(*seed, *table, *service, *scenario)
+	case "waves":
+		err = experiment.PrintWaves(os.Stdout, experiment.Waves(*seed))
+	default:
+		err = fmt.Errorf("unknown table %q; use load, ideas or waves", *table)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(seed uint64, service, scenario string) error {
+func run(seed uint64, table, service, scenario string) error {
 	for _, s := range experiment.Services {
 		if service != "" && s.Name != service {
 			continue
@@ -31,6 +41,12 @@
 				scenarios = append(scenarios, c)
 			}
 		}
+		if table == "ideas" {
+			if err := experiment.Print(os.Stdout, experiment.Ideas(s, seed)); err != nil {
+				return err
+			}
+			continue
+		}
 		results := experiment.RunAll(s, scenarios, experiment.Policies(), seed)
 		if err := experiment.Print(os.Stdout, results); err != nil {
 			return err
--- /dev/null
+++ b/internal/experiment/ideas.go
@@ -0,0 +1,63 @@
+package experiment
+
+import "cassiawood/internal/request"
+
+// Ideas measures each idea of docs/design.md, section 9, with and without it: on
+// cassiawood's policy and on a policy without admission that retries three times.
+func Ideas(service Service, seed uint64) []Result {
+	switches := []struct {
+		name string
+		set  func(*request.Config)
+	}{
+		{"", func(*request.Config) {}},
+		{" + deadline propagation", func(c *request.Config) { c.PropagateDeadline = true }},
+		{" + retry budget", func(c *request.Config) { c.RetryBudget, c.RetryReserve = budgetRatio, budgetMargin }},
+		{" + circuit breaker", func(c *request.Config) { c.BreakerFailures, c.BreakerPause = breakerLimit, breakerPause }},
+		{" + idempotency key", func(c *request.Config) { c.IdempotencyKey = true }},
+	}
+	var policies []Policy
+	for _, base := range []Policy{
+		OnePlacer(), EachHost(), baseline("two random choices", true, chooseOfTwo),
+	} {
+		for _, s := range switches {
+			p := base
+			p.Name += s.name
+			s.set(&p.Requests)
+			policies = append(policies, p)
+		}
+	}
+	return RunAll(service, ideaScenarios(), policies, seed)
+}
+
+// ideaScenarios are those in which an idea can matter.
+func ideaScenarios() []Scenario {
+	var chosen []Scenario
+	for _, s := range Scenarios() {
+		switch s.Name {
+		case "steady", "peak", "slow backend server", "false health", "shedding":
+			chosen = append(chosen, s)
+		}
+	}
+	return append(chosen, Scenario{"crashes", prepareCrashes})
+}
+
+// prepareCrashes lets a random backend server lose all its work every two seconds.
+func prepareCrashes(r *run) {
+	r.at(troubleFrom, func() {
+		r.every(2*reportEvery, func() {
+			if r.measured() {
+				r.crash(r.backends[r.random.IntN(len(r.backends))])
+			}
+		})
+	})
+}
+
+// crash drops all work of a backend server, which is up again at once.
+func (r *run) crash(b *backend) {
+	b.integrate(r.now)
+	for _, j := range append(append([]*job(nil), b.queue...), b.running...) {
+		j.done = true
+		r.send(b.domain, j.from.domain, func() { j.from.step(request.Lost{ID: j.id, Attempt: j.attempt}) })
+	}
+	b.queue, b.running = nil, nil
+}
--- /dev/null
+++ b/internal/experiment/reliability.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"text/tabwriter"
+	"time"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/request"
+)
+
+// The set-up of "Reliability is not retry=3" (2026): a wave of concurrent
+// callers meets a dependency that refuses every request with 503.
+const (
+	waveCallers  = 40
+	originDelay  = 50 * time.Millisecond
+	secondWave   = 3 * time.Second
+	endOfWaves   = 10 * time.Second
+	budgetRatio  = 0.1
+	budgetMargin = 10 // retries that a budget allows without earlier requests
+	breakerLimit = 8
+	breakerPause = 5 * time.Second
+)
+
+// WaveResult is the number of requests that the dependency gets in each wave.
+type WaveResult struct {
+	Policy        string
+	First, Second int
+}
+
+// Waves measures both waves for each policy of the source and for cassiawood's.
+func Waves(seed uint64) []WaveResult {
+	open := func() request.Placer { return &plain{choose: chooseInTurn} }
+	ours := func() request.Placer {
+		p := balance.New(balance.Config{Sole: true, Backlog: backlog}, rand.New(rand.NewPCG(seed, 1)))
+		p.Add(1, slots, false)
+		return p
+	}
+	breaker := request.Config{MaxAttempts: 1, BreakerFailures: breakerLimit, BreakerPause: breakerPause}
+	breakerAndRetry := breaker
+	breakerAndRetry.MaxAttempts = 3
+	return []WaveResult{
+		wave("no retry", request.Config{MaxAttempts: 1}, open()),
+		wave("retry=3", request.Config{MaxAttempts: 3}, open()),
+		wave("retry=3, budget 0.1", request.Config{MaxAttempts: 3, RetryBudget: budgetRatio, RetryReserve: budgetMargin}, open()),
+		wave("circuit breaker 8, 5 s", breaker, open()),
+		wave("retry=3, circuit breaker 8, 5 s", breakerAndRetry, open()),
+		wave("cassiawood", requestDefaults(), ours()),
+	}
+}
+
+// wave drives one machine through both waves.
+func wave(name string, config request.Config, placer request.Placer) WaveResult {
+	result := WaveResult{Policy: name}
+	m := request.New(config, placer)
+	var pending events
+	order, now := uint64(0), time.Duration(0)
+	schedule := func(at time.Duration, do func()) {
+		order++
+		heap.Push(&pending, event{at: at, order: order, do: do})
+	}
+	var step func(e request.Event)
+	step = func(e request.Event) {
+		for _, effect := range append([]request.Effect(nil), m.Step(now, e)...) {
+			s, ok := effect.(request.Send)
+			if !ok {
+				continue
+			}
+			if now < secondWave {
+				result.First++
+			} else {
+				result.Second++
+			}
+			schedule(now+originDelay, func() {
+				step(request.Refused{ID: s.ID, Attempt: s.Attempt, Endpoint: s.Endpoint})
+			})
+		}
+	}
+	step(request.Endpoints{IDs: []directory.EndpointID{1}})
+	for i := range 2 * waveCallers {
+		at := secondWave * time.Duration(i/waveCallers)
+		schedule(at, func() {
+			step(request.Arrive{ID: request.ID(i), Idempotent: true, Deadline: now + patience})
+		})
+	}
+	for t := time.Duration(0); t < endOfWaves; t += 10 * time.Millisecond {
+		schedule(t, func() { step(request.Tick{}) })
+	}
+	for len(pending) > 0 {
+		e := heap.Pop(&pending).(event)
+		now = e.at
+		e.do()
+	}
+	return result
+}
+
+// PrintWaves writes the results as a table.
+func PrintWaves(w io.Writer, results []WaveResult) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "requests at the dependency\tfirst wave\tsecond wave")
+	for _, r := range results {
+		fmt.Fprintf(t, "  %s\t%d\t%d\n", r.Policy, r.First, r.Second)
+	}
+	return t.Flush()
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -170,7 +171,7 @@
 // arrive gives a new request to the host that places it.
 func (r *run) arrive(h *host, flow uint64, idempotent bool) {
 	id := r.offered(h, idempotent)
-	e := request.Arrive{ID: id, Idempotent: idempotent, Deadline: r.now + patience, Flow: flow}
+	e := request.Arrive{ID: id, Idempotent: idempotent, Deadline: r.now + patience, Flow: flow, Key: fmt.Sprint(id)}
 	if target := r.placingHost(h); target != h {
 		r.send(h.domain, target.domain, func() { target.step(e) })
 		return
