Test the promises of requests under faults

Cause: internal/request had no tests. Change: a fault table for both kinds of request, admission, the switches, and a property over any order of faults against the truth at the backend servers. Result: pass with the race detector; each tried fault in the code (a retry after a lost answer, answers matched without attempt or endpoint, a slot not freed and others) makes at least one test fail.

--- /dev/null
+++ b/internal/request/property_test.go
@@ -0,0 +1,169 @@
+package request_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/request"
+)
+
+// sending is the truth about one attempt, which the machine does not see.
+type sending struct {
+	request.Send
+	left, told, ran, refused bool
+}
+
+// world is a network with backend servers that does anything that the design allows.
+type world struct {
+	*rapid.T
+	now         time.Duration
+	machine     *request.Machine
+	placer      *slotPlacer
+	incarnation uint64
+	attempts    []*sending
+	idempotent  map[request.ID]bool
+	open        map[request.ID]bool // of the present process, without a reply
+	notRun      map[request.ID]bool
+	next        request.ID
+}
+
+func (w *world) restart() {
+	w.incarnation++
+	w.placer = newSlots(2)
+	w.machine = request.New(request.Config{Incarnation: w.incarnation}, w.placer)
+	clear(w.open)
+	w.step(request.Endpoints{IDs: []directory.EndpointID{1, 2, 3}})
+}
+
+func (w *world) step(e request.Event) {
+	for _, effect := range w.machine.Step(w.now, e) {
+		switch f := effect.(type) {
+		case request.Send:
+			w.attempts = append(w.attempts, &sending{Send: f})
+		case request.Reply:
+			if !w.open[f.ID] {
+				w.Fatalf("request %d got a second reply", f.ID)
+			}
+			delete(w.open, f.ID)
+			w.notRun[f.ID] = f.Outcome == request.OutcomeNotRun
+			if a, ok := e.(request.Answer); f.Outcome == request.OutcomeAnswered && (!ok || a.ID != f.ID || a.Attempt != f.Attempt) {
+				w.Fatalf("request %d got the answer of %+v", f.ID, e)
+			}
+		}
+	}
+	w.check()
+}
+
+// check tests the promises P3 to P5 of docs/design.md against the truth.
+func (w *world) check() {
+	left := map[request.ID]int{}
+	for _, a := range w.attempts {
+		if a.left {
+			left[a.ID]++
+		}
+		if a.ran && w.notRun[a.ID] {
+			w.Fatalf("request %d was reported as not run and ran", a.ID)
+		}
+		if left[a.ID] > 1 && !w.idempotent[a.ID] {
+			w.Fatalf("request %d was sent twice", a.ID)
+		}
+	}
+}
+
+// deliver sends messages of one attempt, among them late, doubled and crossed ones.
+func (w *world) deliver() {
+	if len(w.attempts) == 0 {
+		return
+	}
+	a := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(w.T, "attempt")]
+	b := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(w.T, "other")]
+	switch rapid.IntRange(0, 9).Draw(w.T, "message") {
+	case 0, 1: // the bytes leave; the machine may hear of it later
+		a.left = a.left || !a.told
+	case 2:
+		if a.left {
+			a.told = true
+			w.step(request.Sent{ID: a.ID, Attempt: a.Attempt})
+		}
+	case 3:
+		if !a.left {
+			a.told = true
+			w.step(request.NotSent{ID: a.ID, Attempt: a.Attempt})
+		}
+	case 4, 5:
+		a.ran = a.ran || (a.left && !a.refused)
+		w.check()
+	case 6, 7:
+		if a.ran {
+			w.step(request.Answer{ID: a.ID, Attempt: a.Attempt, Endpoint: a.Endpoint, Failed: rapid.Bool().Draw(w.T, "failed")})
+		} else if a.left {
+			a.refused = true
+			w.step(request.Refused{ID: a.ID, Attempt: a.Attempt, Endpoint: a.Endpoint})
+		}
+	case 8:
+		if a.left {
+			w.step(request.Lost{ID: a.ID, Attempt: a.Attempt})
+		}
+	case 9:
+		if a.ran && a.Endpoint != b.Endpoint { // crossed: it comes over another endpoint's connection
+			w.step(request.Answer{ID: a.ID, Attempt: a.Attempt, Endpoint: b.Endpoint})
+		}
+	}
+}
+
+// Guards against any order of faults that breaks a promise: a second sending of
+// a request that must not run twice, "not run" for one that ran, an answer to
+// another request, a second reply or none, and a slot that is never freed.
+func TestPromisesHoldInAnyOrderOfFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{T: t, idempotent: map[request.ID]bool{}, open: map[request.ID]bool{}, notRun: map[request.ID]bool{}}
+		w.restart()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w.now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 12).Draw(t, "event") {
+			case 0, 1, 2:
+				w.next++
+				w.idempotent[w.next] = rapid.Bool().Draw(t, "idempotent")
+				w.open[w.next] = true
+				w.step(request.Arrive{ID: w.next, Idempotent: w.idempotent[w.next], Deadline: w.now + deadline})
+			case 3:
+				w.step(request.Cancel{ID: request.ID(rapid.Uint64Range(1, uint64(w.next)+1).Draw(t, "id"))})
+			case 4:
+				w.step(request.EndpointGone{Endpoint: directory.EndpointID(rapid.IntRange(1, 3).Draw(t, "endpoint"))})
+			case 5:
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					w.restart()
+				}
+			case 6:
+				w.step(request.Tick{})
+			default:
+				w.deliver()
+			}
+		}
+		w.now += 2 * deadline
+		w.step(request.Tick{})
+		if len(w.open) > 0 || w.machine.InFlight()+w.machine.Waiting() > 0 {
+			t.Fatalf("requests without a reply after the deadline: %v", w.open)
+		}
+		for id, n := range w.placer.busy {
+			if n != 0 {
+				t.Fatalf("endpoint %d keeps %d slots", id, n)
+			}
+		}
+	})
+}
+
+func BenchmarkStep(b *testing.B) {
+	m := request.New(request.Config{EarlyRefusal: true}, newSlots(2))
+	m.Step(0, request.Endpoints{IDs: []directory.EndpointID{1, 2, 3, 4}})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now, id := time.Duration(i)*time.Millisecond, request.ID(i)
+		m.Step(now, request.Arrive{ID: id, Deadline: now + deadline})
+		m.Step(now, request.Sent{ID: id, Attempt: try(1)})
+		m.Step(now, request.Answer{ID: id, Attempt: try(1), Endpoint: 1})
+	}
+}
--- /dev/null
+++ b/internal/request/request_test.go
@@ -0,0 +1,240 @@
+package request_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/request"
+)
+
+func TestRequest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "request")
+}
+
+// slotPlacer gives each endpoint a number of slots and takes the first free one.
+type slotPlacer struct {
+	slots int
+	busy  map[directory.EndpointID]int
+	wait  time.Duration
+}
+
+func newSlots(n int) *slotPlacer { return &slotPlacer{slots: n, busy: map[directory.EndpointID]int{}} }
+
+func (s *slotPlacer) Advance(time.Duration) {}
+func (s *slotPlacer) Place(_ uint64, candidates []directory.EndpointID) directory.EndpointID {
+	for _, id := range candidates {
+		if s.busy[id] < s.slots {
+			return id
+		}
+	}
+	return 0
+}
+
+func (s *slotPlacer) Sent(id directory.EndpointID) { s.busy[id]++ }
+
+func (s *slotPlacer) Done(id directory.EndpointID, _ balance.Result, _ time.Duration) { s.busy[id]-- }
+
+func (s *slotPlacer) ExpectedWait(ahead int, _ []directory.EndpointID) (_, _ time.Duration) {
+	return time.Duration(ahead) * s.wait, s.wait
+}
+
+const deadline = time.Second
+
+// trace collects the effects of a sequence of events, one each millisecond.
+type trace struct {
+	now     time.Duration
+	machine *request.Machine
+	placer  *slotPlacer
+	sends   []request.Send
+	replies []request.Reply
+	cancels []request.CancelUpstream
+}
+
+func newTrace(c request.Config, slots int) *trace {
+	t := &trace{placer: newSlots(slots)}
+	t.machine = request.New(c, t.placer)
+	t.step(request.Endpoints{IDs: []directory.EndpointID{1, 2}})
+	return t
+}
+
+func (t *trace) step(events ...request.Event) *trace {
+	for _, e := range events {
+		t.now += time.Millisecond
+		for _, effect := range t.machine.Step(t.now, e) {
+			switch f := effect.(type) {
+			case request.Send:
+				t.sends = append(t.sends, f)
+			case request.Reply:
+				t.replies = append(t.replies, f)
+			case request.CancelUpstream:
+				t.cancels = append(t.cancels, f)
+			}
+		}
+	}
+	return t
+}
+
+func (t *trace) expire() *trace {
+	t.now = max(t.now, deadline)
+	return t.step(request.Tick{})
+}
+
+func (t *trace) outcomes() (outcomes []request.Outcome) {
+	for _, r := range t.replies {
+		outcomes = append(outcomes, r.Outcome)
+	}
+	return outcomes
+}
+
+func try(number int) request.Attempt { return request.Attempt{Number: number} }
+
+var (
+	sent     = request.Sent{ID: 1, Attempt: try(1)}
+	notSent  = request.NotSent{ID: 1, Attempt: try(1)}
+	answered = request.Answer{ID: 1, Attempt: try(1), Endpoint: 1}
+	failed   = request.Answer{ID: 1, Attempt: try(1), Endpoint: 1, Failed: true}
+	refused  = request.Refused{ID: 1, Attempt: try(1), Endpoint: 1}
+	lost     = request.Lost{ID: 1, Attempt: try(1)}
+	gone     = request.EndpointGone{Endpoint: 1}
+	cancel   = request.Cancel{ID: 1}
+)
+
+// row is one fault at one step: the number of sends and the outcome after the
+// deadline, for a request that must not run twice and for one that may.
+type row struct {
+	events                  []request.Event
+	onceSends, againSends   int
+	onceReply, againReply   request.Outcome
+	onceCancel, againCancel int
+}
+
+var faults = map[string]row{
+	"none":                                {[]request.Event{sent, answered}, 1, 1, request.OutcomeAnswered, request.OutcomeAnswered, 0, 0},
+	"answer before the confirmed send":    {[]request.Event{answered, sent}, 1, 1, request.OutcomeAnswered, request.OutcomeAnswered, 0, 0},
+	"answer doubled":                      {[]request.Event{sent, answered, answered}, 1, 1, request.OutcomeAnswered, request.OutcomeAnswered, 0, 0},
+	"answer from another endpoint":        {[]request.Event{sent, request.Answer{ID: 1, Attempt: try(1), Endpoint: 2}}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"answer to another request":           {[]request.Event{sent, request.Answer{ID: 2, Attempt: try(1), Endpoint: 1}}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"answer of an earlier process":        {[]request.Event{sent, request.Answer{ID: 1, Attempt: request.Attempt{Incarnation: 9, Number: 1}, Endpoint: 1}}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"answer lost without notice":          {[]request.Event{sent}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"answer lost":                         {[]request.Event{sent, lost}, 1, 2, request.OutcomeUnknown, request.OutcomeUnknown, 0, 1},
+	"answer lost, then late":              {[]request.Event{sent, lost, answered}, 1, 2, request.OutcomeUnknown, request.OutcomeUnknown, 0, 1},
+	"failure reported":                    {[]request.Event{sent, failed}, 1, 2, request.OutcomeAnswered, request.OutcomeUnknown, 0, 1},
+	"refused":                             {[]request.Event{sent, refused}, 1, 2, request.OutcomeNotRun, request.OutcomeUnknown, 0, 1},
+	"refused, then doubled":               {[]request.Event{sent, refused, refused}, 1, 2, request.OutcomeNotRun, request.OutcomeUnknown, 0, 1},
+	"nothing sent":                        {[]request.Event{notSent}, 2, 2, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"endpoint dies before the send":       {[]request.Event{gone, notSent}, 2, 2, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"endpoint dies during the send":       {[]request.Event{gone, sent}, 1, 2, request.OutcomeUnknown, request.OutcomeUnknown, 0, 1},
+	"endpoint dies after the send":        {[]request.Event{sent, gone}, 1, 2, request.OutcomeUnknown, request.OutcomeUnknown, 0, 1},
+	"not sent is claimed after the send":  {[]request.Event{sent, notSent}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"cancelled during the send":           {[]request.Event{cancel}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"cancelled after the send":            {[]request.Event{sent, cancel}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"cancelled after the send, then late": {[]request.Event{sent, cancel, answered}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"cancelled after the answer":          {[]request.Event{sent, answered, cancel}, 1, 1, request.OutcomeAnswered, request.OutcomeAnswered, 0, 0},
+}
+
+var _ = Describe("fault table", func() {
+	for name, r := range faults {
+		// Guards against a request that runs twice, a wrong outcome, a second reply and a slot that is never freed.
+		It("holds for "+name, func() {
+			for _, idempotent := range []bool{false, true} {
+				t := newTrace(request.Config{}, 1)
+				t.step(request.Arrive{ID: 1, Idempotent: idempotent, Deadline: deadline}).step(r.events...).expire()
+				sends, reply, cancels := r.onceSends, r.onceReply, r.onceCancel
+				if idempotent {
+					sends, reply, cancels = r.againSends, r.againReply, r.againCancel
+				}
+				Expect(t.sends).To(HaveLen(sends))
+				Expect(t.outcomes()).To(Equal([]request.Outcome{reply}))
+				Expect(t.cancels).To(HaveLen(cancels))
+				Expect(t.placer.busy[1] + t.placer.busy[2]).To(BeZero())
+				Expect(t.machine.InFlight() + t.machine.Waiting()).To(BeZero())
+			}
+		})
+	}
+})
+
+var _ = Describe("admission", func() {
+	arrive := func(id request.ID) request.Event { return request.Arrive{ID: id, Deadline: deadline} }
+
+	// Guards against more work than slots and against a queue that is not served in order.
+	It("sends as slots come free, first come first served", func() {
+		t := newTrace(request.Config{}, 1).step(arrive(1), arrive(2), arrive(3), arrive(4))
+		Expect(t.sends).To(HaveLen(2))
+		t.step(sent, answered)
+		Expect(t.sends).To(HaveLen(3))
+		Expect(t.sends[2].ID).To(Equal(request.ID(3)))
+	})
+
+	// Guards against a waiting request that is sent or called unknown after it was given up.
+	It("reports a request that was cancelled or expired while it waited as not run", func() {
+		t := newTrace(request.Config{}, 1).step(arrive(1), arrive(2), arrive(3), arrive(4), request.Cancel{ID: 3})
+		Expect(t.replies).To(Equal([]request.Reply{{ID: 3, Outcome: request.OutcomeNotRun}}))
+		t.expire()
+		Expect(t.sends).To(HaveLen(2))
+		Expect(t.replies[1:]).To(ConsistOf(
+			HaveField("Outcome", request.OutcomeUnknown), HaveField("Outcome", request.OutcomeUnknown),
+			Equal(request.Reply{ID: 4, Outcome: request.OutcomeNotRun})))
+	})
+
+	// Guards against callers that wait for an answer that cannot come in time.
+	It("refuses at once what cannot end before its deadline", func() {
+		t := newTrace(request.Config{EarlyRefusal: true}, 1)
+		t.placer.wait = 600 * time.Millisecond
+		t.step(arrive(1), arrive(2), arrive(3), arrive(4))
+		Expect(t.replies).To(Equal([]request.Reply{{ID: 4, Outcome: request.OutcomeNotRun}}))
+	})
+
+	// Guards against a refusal that lasts for ever: without answers a long expectation would never fall.
+	It("lets a request through when nothing is in flight, whatever is expected", func() {
+		t := newTrace(request.Config{EarlyRefusal: true}, 1)
+		t.placer.wait = time.Minute
+		Expect(t.step(arrive(1)).sends).To(HaveLen(1))
+	})
+
+	// Guards against memory that grows with the number of callers.
+	It("bounds the number of waiting requests", func() {
+		t := newTrace(request.Config{MaxWaiting: 1}, 1).step(arrive(1), arrive(2), arrive(3), arrive(4))
+		Expect(t.replies).To(Equal([]request.Reply{{ID: 4, Outcome: request.OutcomeNotRun}}))
+	})
+})
+
+var _ = Describe("switches", func() {
+	again := request.Arrive{ID: 1, Idempotent: true, Deadline: deadline, Key: "k"}
+
+	// Guards against a retry storm.
+	It("stop retries when the budget is used up", func() {
+		t := newTrace(request.Config{RetryBudget: 0.1}, 1).step(again, sent, refused)
+		Expect(t.sends).To(HaveLen(1))
+		Expect(t.outcomes()).To(Equal([]request.Outcome{request.OutcomeNotRun}))
+	})
+
+	// Guards against attempts at an endpoint that fails each one.
+	It("keep attempts from an endpoint with an open breaker until the pause ends", func() {
+		c := request.Config{BreakerFailures: 1, BreakerPause: 500 * time.Millisecond}
+		t := newTrace(c, 1).step(request.Endpoints{IDs: []directory.EndpointID{1}}, again, sent, refused)
+		Expect(t.sends).To(HaveLen(1))
+		t.now += 500 * time.Millisecond
+		Expect(t.step(request.Tick{}).sends).To(HaveLen(2))
+	})
+
+	// Guards against a deadline or key that is passed on although it is off, or not although it is on.
+	It("pass on the deadline and the key only if they are on", func() {
+		Expect(newTrace(request.Config{}, 1).step(again).sends[0]).To(And(HaveField("Deadline", time.Duration(0)), HaveField("Key", "")))
+		c := request.Config{PropagateDeadline: true, IdempotencyKey: true}
+		Expect(newTrace(c, 1).step(again).sends[0]).To(And(HaveField("Deadline", deadline), HaveField("Key", "k")))
+	})
+
+	// Guards against a second run of a request whose caller gave a key while the service does not use keys.
+	It("send a non-idempotent request again only if keys are on", func() {
+		once := again
+		once.Idempotent = false
+		Expect(newTrace(request.Config{}, 1).step(once, sent, lost).sends).To(HaveLen(1))
+		Expect(newTrace(request.Config{IdempotencyKey: true}, 1).step(once, sent, lost).sends).To(HaveLen(2))
+	})
+})
