Strengthen the request tests; test the choice

Change: rows with several attempts, a property with longer histories that also checks the endpoint of an answer; tests and benchmarks of internal/balance; one choice compares at most 16 endpoints.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,238 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/flow"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
+
+var hosts = []string{"a", "b", "c", "d", "e", "f"}
+
+// picture knows the endpoints 1 to n, with 2 slots each and none of them cold.
+func picture(c balance.Config, n int) (*balance.Picture, []directory.EndpointID) {
+	if c.Host == "" {
+		c.Host, c.Hosts = "a", hosts
+	}
+	p := balance.New(c, rand.New(rand.NewPCG(1, 2)))
+	var ids []directory.EndpointID
+	for id := directory.EndpointID(1); id <= directory.EndpointID(n); id++ {
+		p.Add(id, 2, false)
+		ids = append(ids, id)
+	}
+	return p, ids
+}
+
+var _ = Describe("load picture", func() {
+	// Guards against figures of long ago that decide as if they were new.
+	It("trusts a report less as it ages", func() {
+		p, _ := picture(balance.Config{}, 1)
+		p.Observe(1, balance.Report{InFlight: 4})
+		Expect(p.Trust(1)).To(Equal(1.0))
+		p.Advance(1500 * time.Millisecond)
+		Expect(p.Trust(1)).To(Equal(0.5))
+		p.Advance(3 * time.Second)
+		Expect(p.Trust(1)).To(BeZero())
+	})
+
+	// Guards against a load endpoint that says "idle" for ever and so draws all work.
+	It("stops trusting reports below its own work", func() {
+		p, _ := picture(balance.Config{}, 1)
+		for range 3 {
+			p.Sent(1)
+		}
+		for i := range 6 {
+			p.Advance(time.Duration(i+1) * time.Second)
+			p.Observe(1, balance.Report{At: time.Duration(i+1) * time.Second})
+		}
+		Expect(p.Trust(1)).To(BeZero())
+	})
+
+	// Guards against a frozen load endpoint whose figure happens to be plausible.
+	It("stops trusting a report that never changes while answers come", func() {
+		p, _ := picture(balance.Config{}, 1)
+		for i := range 12 {
+			p.Advance(time.Duration(i+1) * time.Second)
+			p.Sent(1)
+			p.Done(1, balance.Answered, 10*time.Millisecond)
+			p.Observe(1, balance.Report{InFlight: 3, At: time.Duration(i+1) * time.Second})
+		}
+		Expect(p.Trust(1)).To(BeZero())
+	})
+
+	// Guards against reports that arrive in the wrong order.
+	It("ignores a report that is older than the last one", func() {
+		p, _ := picture(balance.Config{}, 1)
+		p.Observe(1, balance.Report{InFlight: 2, At: time.Second})
+		before := p.Estimate(1)
+		p.Observe(1, balance.Report{InFlight: 9})
+		Expect(p.Estimate(1)).To(Equal(before))
+	})
+
+	// Guards against own sends that are invisible until the next report.
+	It("adds its own work to the last report", func() {
+		p, _ := picture(balance.Config{}, 1)
+		p.Observe(1, balance.Report{InFlight: 4})
+		before := p.Estimate(1)
+		p.Sent(1)
+		Expect(p.Estimate(1)).To(Equal(before + 1))
+	})
+})
+
+var _ = Describe("choice", func() {
+	// Guards against a signature that the flow engine cannot use.
+	It("fits the flow engine", func() {
+		p, ids := picture(balance.Config{}, 3)
+		c := flow.Config{Choose: p.Choose}
+		Expect(ids).To(ContainElement(c.Choose("desk", ids)))
+		Expect(c.Choose("desk", nil)).To(BeZero())
+		Expect(c.Choose("desk", []directory.EndpointID{9})).To(BeZero())
+	})
+
+	// Guards against a choice that depends on more than the seed and the events.
+	It("is the same for the same seed", func() {
+		sequence := func() (chosen []directory.EndpointID) {
+			p, ids := picture(balance.Config{}, 15)
+			for range 200 {
+				id := p.Choose("", ids)
+				p.Sent(id)
+				chosen = append(chosen, id)
+			}
+			return chosen
+		}
+		Expect(sequence()).To(Equal(sequence()))
+	})
+
+	// Guards against garbage at thousands of new flows a second.
+	It("allocates nothing", func() {
+		p, ids := picture(balance.Config{}, 15)
+		Expect(testing.AllocsPerRun(100, func() { p.Choose("", ids) })).To(BeZero())
+	})
+
+	// Guards against work for an endpoint that refuses it while its health endpoint says healthy.
+	It("leaves a refusing endpoint alone for longer and longer", func() {
+		p, ids := picture(balance.Config{Sole: true}, 1)
+		now := time.Duration(0)
+		var pauses []time.Duration
+		for range 4 {
+			p.Sent(1)
+			p.Done(1, balance.Refused, 0)
+			start := now
+			for p.Place(0, ids) == 0 {
+				now += 10 * time.Millisecond
+				p.Advance(now)
+			}
+			pauses = append(pauses, now-start)
+		}
+		Expect(pauses).To(Equal([]time.Duration{250e6, 500e6, 1e9, 2e9}))
+	})
+
+	// Guards against an endpoint that gets more requests than slots and backlog.
+	It("stops at the slots and the backlog", func() {
+		p, ids := picture(balance.Config{Sole: true, Backlog: 1}, 2)
+		for range 6 {
+			p.Sent(p.Place(0, ids))
+		}
+		Expect(p.Place(0, ids)).To(BeZero())
+		Expect(p.Choose("", ids)).NotTo(BeZero(), "a flow is placed even if all slots are taken")
+	})
+
+	// Guards against a flow that leaves its bucket's endpoint without need.
+	It("keeps the bucket's endpoint for unbroken first", func() {
+		p, ids := picture(balance.Config{}, 4)
+		p.Sent(3)
+		Expect(p.ChooseNear(balance.UnbrokenFirst, 3, ids)).To(Equal(directory.EndpointID(3)))
+		p.Sent(3)
+		Expect(p.ChooseNear(balance.UnbrokenFirst, 3, ids)).NotTo(Equal(directory.EndpointID(3)))
+	})
+})
+
+var _ = Describe("cold endpoints", func() {
+	// Guards against several hosts that fill a cold endpoint's slots together.
+	It("get work from one host only, within their slots", func() {
+		total, senders := 0, 0
+		for _, host := range hosts {
+			p := balance.New(balance.Config{Host: host, Hosts: hosts}, rand.New(rand.NewPCG(1, 2)))
+			p.Add(7, 2, true)
+			sent := 0
+			for p.Place(0, []directory.EndpointID{7}) != 0 {
+				p.Sent(7)
+				sent++
+			}
+			total += sent
+			senders += min(sent, 1)
+		}
+		Expect(senders).To(Equal(1))
+		Expect(total).To(Equal(1), "one request until the first answers have come")
+	})
+
+	// Guards against slow start that never ends.
+	It("become warm", func() {
+		p := balance.New(balance.Config{Host: "none", Hosts: hosts}, rand.New(rand.NewPCG(1, 2)))
+		p.Add(7, 2, true)
+		Expect(p.Place(0, []directory.EndpointID{7})).To(BeZero())
+		p.Advance(10 * time.Second)
+		Expect(p.Place(0, []directory.EndpointID{7})).NotTo(BeZero())
+	})
+})
+
+var _ = Describe("placing host", func() {
+	// Guards against a lost host that moves services of other hosts, and against one host that places all.
+	It("spreads services and moves only those of a lost host", func() {
+		counts := map[string]int{}
+		for i := range 600 {
+			service := fmt.Sprint("service", i)
+			before := balance.PlacingHost(service, hosts)
+			counts[before]++
+			if after := balance.PlacingHost(service, hosts[1:]); before != hosts[0] {
+				Expect(after).To(Equal(before))
+			}
+		}
+		for _, host := range hosts {
+			Expect(counts[host]).To(BeNumerically("~", 100, 40))
+		}
+	})
+})
+
+var _ = Describe("circuit breaker", func() {
+	// Guards against a breaker that opens too early, lets a wave through or never closes.
+	It("opens after its failures, tries once after the pause and closes with an answer", func() {
+		b := balance.Breaker{Failures: 2, Pause: time.Second}
+		b.Ended(0, balance.Refused)
+		b.Ended(0, balance.Cancelled)
+		Expect(b.Allows(0)).To(BeTrue())
+		b.Ended(0, balance.Lost)
+		Expect(b.Allows(time.Second - 1)).To(BeFalse())
+		Expect(b.Allows(time.Second)).To(BeTrue())
+		b.Sent()
+		Expect(b.Allows(time.Second)).To(BeFalse())
+		b.Ended(time.Second, balance.Answered)
+		Expect(b.Allows(time.Second)).To(BeTrue())
+	})
+})
+
+func BenchmarkChoose(b *testing.B) {
+	for _, sole := range []bool{false, true} {
+		for _, n := range []int{4, 15, 200} {
+			b.Run(fmt.Sprintf("sole=%v/%d", sole, n), func(b *testing.B) {
+				p, ids := picture(balance.Config{Sole: sole}, n)
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Choose("", ids)
+				}
+			})
+		}
+	}
+}
--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -26,7 +26,7 @@
 	Host       string        // this entry host
 	Hosts      []string      // all entry hosts; they share out the cold endpoints
 	Sole       bool          // this host places all flows of the service, so own figures are complete
-	Probes     int           // candidates compared for one choice; default all if Sole, else 4
+	Probes     int           // candidates compared for one choice; default 16 if Sole, else 4
 	Backlog    int           // with Sole: requests above the slots of a warm endpoint; they hide the round trip
 	ReportLife time.Duration // age at which a report has no weight any more; default 3 s
 	SlowStart  time.Duration // time for which a new endpoint counts as cold; default 10 s
@@ -46,6 +46,8 @@
 	soleTieWeight = 0.5
 	tieWeight     = 10
 	probes        = 4
+	// soleProbes bounds the time of one choice in a large service.
+	soleProbes = 16
 
 	// useLife is the time constant of the recent use.
 	useLife = 10 * time.Second
@@ -146,7 +148,7 @@
 	case p.cfg.Probes != 0:
 		return min(p.cfg.Probes, n)
 	case p.cfg.Sole:
-		return n
+		return min(soleProbes, n)
 	default:
 		return min(probes, n)
 	}
--- a/internal/request/property_test.go
+++ b/internal/request/property_test.go
@@ -1,6 +1,7 @@
 package request_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 			}
 			delete(w.open, f.ID)
 			w.notRun[f.ID] = f.Outcome == request.OutcomeNotRun
-			if a, ok := e.(request.Answer); f.Outcome == request.OutcomeAnswered && (!ok || a.ID != f.ID || a.Attempt != f.Attempt) {
+			if f.Outcome == request.OutcomeAnswered && !w.ownAnswer(e, f) {
 				w.Fatalf("request %d got the answer of %+v", f.ID, e)
 			}
 		}
@@ -57,6 +58,15 @@
 	w.check()
 }
 
+// ownAnswer reports whether an event is the answer to a request's attempt, from
+// the endpoint that the attempt went to.
+func (w *world) ownAnswer(e request.Event, r request.Reply) bool {
+	answer, ok := e.(request.Answer)
+	return ok && slices.ContainsFunc(w.attempts, func(a *sending) bool {
+		return a.ID == r.ID && answer.ID == r.ID && a.Attempt == r.Attempt && answer.Attempt == r.Attempt && answer.Endpoint == a.Endpoint
+	})
+}
+
 // check tests the promises P3 to P5 of docs/design.md against the truth.
 func (w *world) check() {
 	left := map[request.ID]int{}
@@ -78,7 +88,9 @@
 	if len(w.attempts) == 0 {
 		return
 	}
-	a := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(w.T, "attempt")]
+	// Mostly recent attempts, so that long histories of one request occur.
+	first := max(0, len(w.attempts)-rapid.SampledFrom([]int{2, 4, len(w.attempts)}).Draw(w.T, "recent"))
+	a := w.attempts[rapid.IntRange(first, len(w.attempts)-1).Draw(w.T, "attempt")]
 	b := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(w.T, "other")]
 	switch rapid.IntRange(0, 9).Draw(w.T, "message") {
 	case 0, 1: // the bytes leave; the machine may hear of it later
@@ -121,10 +133,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{T: t, idempotent: map[request.ID]bool{}, open: map[request.ID]bool{}, notRun: map[request.ID]bool{}}
 		w.restart()
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		for range rapid.IntRange(1, 250).Draw(t, "steps") {
 			w.now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 12).Draw(t, "event") {
-			case 0, 1, 2:
+			case 0, 1:
 				w.next++
 				w.idempotent[w.next] = rapid.Bool().Draw(t, "idempotent")
 				w.open[w.next] = true
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -135,6 +135,10 @@
 	"cancelled during the send":           {[]request.Event{cancel}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
 	"cancelled after the send":            {[]request.Event{sent, cancel}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
 	"cancelled after the send, then late": {[]request.Event{sent, cancel, answered}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 1, 1},
+	"lost, then refused":                  {[]request.Event{sent, lost, request.Refused{ID: 1, Attempt: try(2), Endpoint: 1}, cancel}, 1, 3, request.OutcomeUnknown, request.OutcomeUnknown, 0, 1},
+	"lost, then cancelled in the queue":   {[]request.Event{request.Endpoints{}, sent, lost, cancel}, 1, 1, request.OutcomeUnknown, request.OutcomeUnknown, 0, 0},
+	"refused thrice":                      {[]request.Event{refused, request.Refused{ID: 1, Attempt: try(2), Endpoint: 1}, request.Refused{ID: 1, Attempt: try(3), Endpoint: 1}}, 1, 3, request.OutcomeNotRun, request.OutcomeNotRun, 0, 0},
+	"lost, then refused twice":            {[]request.Event{lost, request.Refused{ID: 1, Attempt: try(2), Endpoint: 1}, request.Refused{ID: 1, Attempt: try(3), Endpoint: 1}}, 1, 3, request.OutcomeUnknown, request.OutcomeUnknown, 0, 0},
 	"cancelled after the answer":          {[]request.Event{sent, answered, cancel}, 1, 1, request.OutcomeAnswered, request.OutcomeAnswered, 0, 0},
 }
 
