--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -139,6 +139,21 @@
 		Expect(pauses).To(Equal([]time.Duration{250e6, 500e6, 1e9, 2e9}))
 	})
 
+	// Guards against a shedding endpoint that is taken for whole after each request that it answers.
+	It("forgets refusals step by step", func() {
+		p, ids := picture(balance.Config{Sole: true}, 1)
+		for range 4 {
+			p.Done(1, balance.Refused, 0)
+		}
+		p.Done(1, balance.Answered, time.Millisecond)
+		p.Advance(10 * time.Second)
+		p.Done(1, balance.Refused, 0)
+		p.Advance(10*time.Second + 900*time.Millisecond)
+		Expect(p.Place(0, ids)).To(BeZero(), "two refusals are remembered, so the pause is 1 s")
+		p.Advance(11 * time.Second)
+		Expect(p.Place(0, ids)).NotTo(BeZero())
+	})
+
 	// Guards against an endpoint that gets more requests than slots and backlog.
 	It("stops at the slots and the backlog", func() {
 		p, ids := picture(balance.Config{Sole: true, Backlog: 1}, 2)
--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -232,7 +232,9 @@
 		l.retryAt = p.now + min(firstBackoff<<min(l.refusals, 8), lastBackoff)
 		l.refusals++
 	case Answered:
-		l.refusals, l.retryAt = 0, 0
+		// An endpoint that sheds a part of its load answers the rest, so one
+		// answer does not prove that it takes all work again.
+		l.refusals /= 2
 		l.answers++
 		l.moved++
 		l.latency = smooth(l.latency, after.Seconds())
