--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -152,6 +152,7 @@
 	// PropagateDeadline hands the deadline to the backend server.
 	PropagateDeadline bool
 	// RetryBudget bounds retries to this ratio of requests and RetryReserve more; 0 is no bound.
+	// Source of budget and breaker: "Reliability is not retry=3" (2026).
 	RetryBudget  float64
 	RetryReserve float64
 	// BreakerFailures failures in a row stop attempts at an endpoint for BreakerPause; 0 is no breaker.
