Keep links to hosts that have left the directory while they are heard

Cause: a stopping host leaves the directory first; the others then closed their links to it, so its records could not be copied and every planned stop ran into its limit of 30 s ('stop was not graceful'). Change: links and heartbeats go on while the peer is heard.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -92,6 +92,7 @@
 
 	names       names
 	heard       map[string]heardPeer
+	peerHosts   map[string]directory.Host // those with a link
 	lastHello   time.Duration
 	lastSeen    time.Duration
 	acknowledge uint64
@@ -171,14 +172,30 @@
 func (d *engineDuty) tableChanged(now time.Duration) {
 	d.flow.SetTable(now, flow.TableOf(d.state))
 	d.names.update(d.state)
-	targets := []peerTarget{}
-	for _, h := range d.state.Hosts() {
-		if h.Name != d.self.GetName() {
-			targets = append(targets, peerTarget{h.Name, h.Incarnation, h.PeerAddr.String()})
+	d.updatePeers()
+	d.probes.Offer(d.probeTargets())
+}
+
+// updatePeers keeps links to the hosts that the directory lists, and to those that it no
+// longer lists while they are heard: a stopping host leaves the directory first
+// and then hands its records over.
+func (d *engineDuty) updatePeers() {
+	current := map[string]directory.Host{}
+	for name, h := range d.peerHosts {
+		if d.heard[name].up {
+			current[name] = h
 		}
 	}
+	for _, h := range d.state.Hosts() {
+		current[h.Name] = h
+	}
+	delete(current, d.self.GetName())
+	d.peerHosts = current
+	targets := []peerTarget{}
+	for _, h := range current {
+		targets = append(targets, peerTarget{h.Name, h.Incarnation, h.PeerAddr.String()})
+	}
 	d.peers.Offer(peerCommand{targets: targets})
-	d.probes.Offer(d.probeTargets())
 }
 
 func (d *engineDuty) probeTargets() []probeTarget {
@@ -200,6 +217,7 @@
 			d.heard[host] = peer
 			d.log.Warn("peer lost", "peer", host)
 			d.flow.PeerDown(now, host)
+			d.updatePeers()
 		}
 	}
 	if now-d.lastHello >= helloInterval {
@@ -213,10 +231,8 @@
 		Host: d.self.GetName(), Domain: d.self.GetDomain(), Incarnation: d.self.GetIncarnation(),
 		Applied: d.state.Index(), Fenced: d.flow.Fenced(), Stopping: d.stopping,
 	}}}
-	for _, h := range d.state.Hosts() {
-		if h.Name != d.self.GetName() {
-			d.peers.Offer(peerCommand{to: h.Name, message: hello})
-		}
+	for name := range d.peerHosts {
+		d.peers.Offer(peerCommand{to: name, message: hello})
 	}
 	d.tellControl()
 	if self, ok := d.listed(); ok && self.State == directory.HostJoined && !d.stopping {
