Bound the wait for a quiet fabric and fence hosts that are not current

Cause: a stopping host waited for a second without packets, which a fabric that goes on spraying never gives; and contact with the leader extended the lease of hosts for which the leader does not wait (not listed, stopping, behind). Change: after the handover the stop waits for quiet or drainSeconds; contact counts only for a listed host that has applied what is committed. The demo stops its entry hosts together.

--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -332,7 +332,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = l.engine.Put(engineEntries{entries: entries, contact: contactOf(body.EntryBatch)})
+		_, err = l.engine.Put(engineEntries{entries: entries, contact: contactOf(body.EntryBatch), committed: body.EntryBatch.GetCommitted()})
 		return err
 	case *wirepb.Envelope_Snapshot:
 		state, err := stateFromProto(body.Snapshot)
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -27,8 +27,9 @@
 	enginePackets struct{ batch *batch }
 	engineTick    struct{ now time.Duration }
 	engineEntries struct {
-		entries []directory.Entry
-		contact time.Duration // when this host sent what a leader answered; 0 for no contact
+		entries   []directory.Entry
+		contact   time.Duration // when this host sent what a leader answered; 0 for no contact
+		committed uint64        // index up to which the sender's log is committed
 	}
 	engineSnapshot  struct{ state *directory.State }
 	enginePeerHello struct {
@@ -164,11 +165,19 @@
 	if changed {
 		d.tableChanged(now)
 	}
-	if e.contact > 0 {
+	if e.contact > 0 && d.isCurrent(e.committed) {
 		d.flow.Contact(e.contact)
 	}
 }
 
+// isCurrent reports whether contact with the leader may extend the host lease: the
+// host has applied all committed entries, and the directory lists it. The leader
+// does not wait for a host for which one of these fails.
+func (d *engineDuty) isCurrent(committed uint64) bool {
+	_, listed := d.listed()
+	return listed && !d.stopping && d.state.Index() >= committed
+}
+
 func (d *engineDuty) tableChanged(now time.Duration) {
 	d.flow.SetTable(now, flow.TableOf(d.state))
 	d.names.update(d.state)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -29,15 +29,25 @@
 	return errors.Join(err, h.group.Stop(ctx))
 }
 
+// quietTime without a packet means that the fabric sends to this host no more.
+const quietTime = time.Second
+
+// awaitHandover waits until the records are confirmed elsewhere, and then until
+// the fabric is quiet or drainSeconds have passed. A fabric that still sends
+// afterwards loses those packets, which TCP repeats through other hosts.
 func (h *Host) awaitHandover(ctx context.Context) error {
-	quiet := settings.Seconds(h.settings.DrainSeconds)
+	drain := settings.Seconds(h.settings.DrainSeconds)
+	var complete time.Time
 	for {
 		status, err := h.Status()
 		if err != nil {
 			return err
 		}
-		if status.HandoverComplete && status.LastPacket >= min(quiet, time.Second) {
+		if status.HandoverComplete && complete.IsZero() {
+			complete = time.Now()
 			h.log.Info("records handed over", "records", status.Records, "flowsLost", status.FlowsLost)
+		}
+		if !complete.IsZero() && (status.LastPacket >= quietTime || time.Since(complete) >= drain) {
 			return nil
 		}
 		if ctx.Err() != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,27 +14,32 @@
   ln -s "$(cd data/keys && ls tokens-*.json | tail -1)" data/keys/tokens.json
 fi
 
-pids=()
+controls=()
+hosts=()
 finish() {
   # Entry hosts first: their planned stop needs the control hosts.
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
+  kill "${hosts[@]}" 2>/dev/null || true
+  wait "${hosts[@]}" 2>/dev/null || true
+  kill "${controls[@]}" 2>/dev/null || true
+  wait "${controls[@]}" 2>/dev/null || true
 }
 trap finish EXIT
 
 start() { # binary, name
   "bin/$1" -settings "examples/demo/$2.json" >"$logs/$2.log" 2>&1 &
-  pids=("$!" "${pids[@]}")
+  started=$!
   echo "$!" >"$logs/$2.pid"
 }
 
-for host in control-1 control-2 control-3; do start cassiawood-control "$host"; done
+for host in control-1 control-2 control-3; do
+  start cassiawood-control "$host"
+  controls+=("$started")
+done
 entries=()
 for domain in a b c; do
   for number in 1 2; do
     start cassiawood-entry "entry-$domain$number"
+    hosts+=("$started")
     index=$(printf '%d' "'$domain")
     address="127.0.$((index - 96)).$number"
     entries+=(-entry "entry-$domain$number,$domain,$address:6081" -announce "http://$address:8080/v1/announce")
