Bound the share of new flows that a new endpoint gets

Cause: with long-lived flows (2000 an endpoint), an endpoint that had just become warm got all new flows with one placing host and up to 87 % with each host (fair share 6.2 or 20 %), because it had the fewest open flows; 50 new flows a second at order-desk are more than its 20 requests a second. Change: an endpoint with twice its fair share of recent placements goes behind the others; a table of long-lived flows (-table flows).

--- a/cmd/cassiawood-experiment/main.go
+++ b/cmd/cassiawood-experiment/main.go
@@ -13,7 +13,7 @@
 	seed := flag.Uint64("seed", 1, "seed of all random numbers")
 	service := flag.String("service", "", "only this service")
 	scenario := flag.String("scenario", "", "only this scenario")
-	table := flag.String("table", "load", "load: policies in all scenarios; ideas: switches of requests; waves: refusing dependency")
+	table := flag.String("table", "load", "load: policies in all scenarios; ideas: switches of requests; waves: refusing dependency; flows: long-lived flows")
 	flag.Parse()
 	var err error
 	switch *table {
@@ -21,8 +21,10 @@
 		err = run(*seed, *table, *service, *scenario)
 	case "waves":
 		err = experiment.PrintWaves(os.Stdout, experiment.Waves(*seed))
+	case "flows":
+		err = flows(*seed)
 	default:
-		err = fmt.Errorf("unknown table %q; use load, ideas or waves", *table)
+		err = fmt.Errorf("unknown table %q; use load, ideas, waves or flows", *table)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -55,3 +57,13 @@
 	}
 	return nil
 }
+
+func flows(seed uint64) error {
+	var results []experiment.FlowResult
+	for _, s := range experiment.Services {
+		for _, p := range experiment.Policies() {
+			results = append(results, experiment.RunLongFlows(s, p, seed))
+		}
+	}
+	return experiment.PrintLongFlows(os.Stdout, results)
+}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -203,6 +203,31 @@
 	})
 })
 
+var _ = Describe("new endpoints", func() {
+	// Guards against an endpoint that gets every new flow when its slow start ends, because it has none yet.
+	It("get no more than about twice their fair share of long-lived flows", func() {
+		p, ids := picture(balance.Config{Sole: true}, 9)
+		for range 1000 {
+			for _, id := range ids {
+				p.Sent(id)
+			}
+		}
+		p.Add(10, 2, true)
+		ids = append(ids, 10)
+		p.Sent(p.Choose("", ids))
+		p.Advance(10 * time.Second)
+		fresh := 0
+		for range 500 {
+			id := p.Choose("", ids)
+			p.Sent(id)
+			if id == 10 {
+				fresh++
+			}
+		}
+		Expect(fresh).To(BeNumerically("~", 100, 20))
+	})
+})
+
 var _ = Describe("placing host", func() {
 	// Guards against a lost host that moves services of other hosts, and against one host that places all.
 	It("spreads services and moves only those of a lost host", func() {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -12,6 +12,9 @@
 // gets some work and a recovery is noticed.
 const minSpeed = 0.1
 
+// behindOthers is a score above that of any load.
+const behindOthers = 1e9
+
 // answerSpread is the number of mean deviations above the mean within which
 // most answers come: 91 % of exponentially distributed ones.
 const answerSpread = 2
@@ -61,6 +64,7 @@
 		return 0
 	}
 	probes := p.probes(n)
+	p.choices = n
 	// A step without a common factor with n visits every candidate once.
 	start, best, found := p.random.IntN(n), 0.0, directory.EndpointID(0)
 	step := 1
@@ -117,6 +121,8 @@
 		// reports are old; the own work is certain.
 		return l.own < l.slots
 	}
+	// After the slow start it takes its share like the others, without a burst.
+	l.recent, l.recentAt = mostRecent, p.placed
 	limit := l.slots
 	if l.answers < coldAnswers {
 		limit = 1
@@ -138,7 +144,11 @@
 		use *= 1 - l.trip/l.latency // what is on its way is no work at the backend server
 	}
 	slots := float64(l.slots)
-	return (p.estimate(l)+1)/(slots*speed) + p.tie()*use/slots
+	score := (p.estimate(l)+1)/(slots*speed) + p.tie()*use/slots
+	if p.now >= l.coldEnd && p.recent(l) >= mostRecent {
+		score += behindOthers
+	}
+	return score
 }
 
 // estimate is the work in flight at an endpoint: the own work, and that of other
--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -61,6 +61,13 @@
 	// othersGain is the weight of one report in the work of other hosts. A report
 	// is older than most requests take, so that only a mean of several tells something.
 	othersGain = 0.3
+	// fairPlacements is the number of recent placements of an endpoint that gets
+	// its fair share, and mostRecent that of one that gets twice the fair share;
+	// from there on others go first.
+	// Without that bound, all new flows would go to an endpoint that has just
+	// become warm, until it has as many open flows as the others.
+	fairPlacements = 8
+	mostRecent     = 2*(fairPlacements+1) - 1
 	// maxDistrust is the number of contradictions at which reports have no weight.
 	maxDistrust = 4
 	// frozenReports is the number of equal reports, while own answers arrive, that counts as frozen.
@@ -105,6 +112,8 @@
 	useAt    time.Duration
 	refusals int
 	retryAt  time.Duration
+	recent   float64 // decayed count of own placements
+	recentAt int     // number of the placement up to which recent counts
 }
 
 // Picture is the load picture of one service at one entry host.
@@ -117,6 +126,8 @@
 	latency float64 // mean over the endpoints' answers, in seconds
 	spread  float64 // mean deviation from it
 	others  float64 // mean work of other hosts, for endpoints without a usable report
+	placed  int     // own placements on all endpoints
+	choices int     // candidates of the last choice
 }
 
 // New returns an empty picture. random is the only source of randomness.
@@ -216,6 +227,9 @@
 	if l := p.loads[id]; l != nil {
 		p.settle(l)
 		l.own++
+		p.placed++
+		l.recent = p.recent(l) + 1
+		l.recentAt = p.placed
 	}
 }
 
@@ -253,6 +267,12 @@
 	return min(trip, known*1.02)
 }
 
+// recent is the decayed number of placements on an endpoint, about
+// fairPlacements+1 for one that gets its fair share.
+func (p *Picture) recent(l *load) float64 {
+	return l.recent / (1 + float64(p.placed-l.recentAt)/float64(fairPlacements*max(1, p.choices)))
+}
+
 // smooth adds one value to an exponential mean that starts with its first value.
 func smooth(mean, value float64) float64 {
 	if mean == 0 {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -141,6 +141,16 @@
 		Expect(by("steady", "consistent hashing").Imbalance).To(BeNumerically(">", 1.15))
 	})
 
+	// Guards against a long-lived load that is uneven, and a new endpoint that is flooded or starved.
+	It("shows how long-lived flows fill a new endpoint", func() {
+		for _, p := range both {
+			r := experiment.RunLongFlows(service("sheet-print"), p, seed)
+			Expect(r.Imbalance).To(BeNumerically("<=", 1.15), "%+v", r)
+			Expect(r.PeakShare).To(BeNumerically("<=", 3*r.FairShare), "%+v", r)
+			Expect(r.Reached).To(BeNumerically(">", 0.9), "%+v", r)
+		}
+	})
+
 	// Guards against a retry budget or breaker that differs from the figures of
 	// "Reliability is not retry=3" (2026).
 	It("repeats the table of the source", func() {
--- a/internal/experiment/reliability.go
+++ b/internal/experiment/reliability.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -61,7 +60,7 @@
 	order, now := uint64(0), time.Duration(0)
 	schedule := func(at time.Duration, do func()) {
 		order++
-		heap.Push(&pending, event{at: at, order: order, do: do})
+		pending.add(event{at: at, order: order, do: do})
 	}
 	var step func(e request.Event)
 	step = func(e request.Event) {
@@ -91,7 +90,7 @@
 		schedule(t, func() { step(request.Tick{}) })
 	}
 	for len(pending) > 0 {
-		e := heap.Pop(&pending).(event)
+		e := pending.take()
 		now = e.at
 		e.do()
 	}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -34,6 +34,11 @@
 	return last
 }
 
+func (e *events) add(one event) { heap.Push(e, one) }
+
+// take removes the next event.
+func (e *events) take() event { return heap.Pop(e).(event) }
+
 // run is one scenario with one policy.
 type run struct {
 	service  Service
@@ -101,7 +106,7 @@
 
 func (r *run) after(d time.Duration, do func()) {
 	r.order++
-	heap.Push(&r.events, event{at: r.now + d, order: r.order, do: do})
+	r.events.add(event{at: r.now + d, order: r.order, do: do})
 }
 
 func (r *run) at(t time.Duration, do func()) { r.after(t-r.now, do) }
@@ -132,7 +137,7 @@
 // execute runs until the end.
 func (r *run) execute() {
 	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
+		e := r.events.take()
 		if e.at > endOfRun {
 			return
 		}
