--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -30,7 +30,7 @@
 	Backlog    int           // with Sole: requests above the slots of a warm endpoint; they hide the round trip
 	ReportLife time.Duration // age at which a report has no weight any more; default 3 s
 	SlowStart  time.Duration // time for which a new endpoint counts as cold; default 10 s
-	TieWeight  float64       // weight of the recent use of an endpoint; default 0.5 if Sole, else 10
+	TieWeight  float64       // weight of the recent use of an endpoint; default 0.5 if Sole, else 20
 }
 
 const (
@@ -42,9 +42,9 @@
 	// With all figures at hand the recent use only breaks ties. A host that does
 	// not see the others' work balances best by use over many service times, and
 	// among a few random candidates, so that not all hosts take the same one
-	// (docs/MEASUREMENTS.md, round 3).
+	// (docs/MEASUREMENTS.md, rounds 3 and 7).
 	soleTieWeight = 0.5
-	tieWeight     = 10
+	tieWeight     = 20
 	probes        = 4
 	// soleProbes bounds the time of one choice in a large service.
 	soleProbes = 16
