--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -193,6 +193,18 @@
 		Expect(total).To(Equal(1), "one request until the first answers have come")
 	})
 
+	// Guards against a cold endpoint without work because its host is gone.
+	It("pass to another host when theirs is lost", func() {
+		p := balance.New(balance.Config{Host: "f", Hosts: hosts}, rand.New(rand.NewPCG(1, 2)))
+		for id := directory.EndpointID(1); id <= 20; id++ {
+			p.Add(id, 2, true)
+			p.SetHosts([]string{"f"})
+			Expect(p.Place(0, []directory.EndpointID{id})).To(Equal(id))
+			p.SetHosts(hosts[:5])
+			Expect(p.Place(0, []directory.EndpointID{id})).To(BeZero())
+		}
+	})
+
 	// Guards against slow start that never ends.
 	It("become warm", func() {
 		p := balance.New(balance.Config{Host: "none", Hosts: hosts}, rand.New(rand.NewPCG(1, 2)))
--- a/internal/balance/picture.go
+++ b/internal/balance/picture.go
@@ -191,8 +191,19 @@
 		p.soleAt = p.now
 	}
 	p.cfg.Sole = sole
+	p.shareOut()
+}
+
+// SetHosts sets the entry hosts that share out the cold endpoints from now on.
+func (p *Picture) SetHosts(hosts []string) {
+	p.cfg.Hosts = hosts
+	p.shareOut()
+}
+
+// shareOut finds which cold endpoints this host sends to.
+func (p *Picture) shareOut() {
 	for id, l := range p.loads {
-		l.owned = sole || coldOwner(id, p.cfg.Hosts) == p.cfg.Host
+		l.owned = p.cfg.Sole || coldOwner(id, p.cfg.Hosts) == p.cfg.Host
 	}
 }
 
