--- a/internal/flow/resolve.go
+++ b/internal/flow/resolve.go
@@ -1,8 +1,6 @@
 package flow
 
 import (
-	"encoding/binary"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -63,28 +61,6 @@
 	return pl
 }
 
-// query is a packet with what was looked up for it.
-type query struct {
-	p      *Packet
-	svc    *Service
-	bucket directory.Bucket
-	number int
-	key    flowKey
-	hash   uint64
-	h      *Handoff // continues p.Handoff
-}
-
-// isFirst says whether the packet begins a flow.
-func (q *query) isFirst() bool {
-	return q.p.Direction == FromCaller && q.p.Protocol == ProtocolTCP && q.p.Flags&(SYN|ACK) == SYN
-}
-
-// needsFirstHolder says whether the first holder must see the packet, because it
-// begins or may end the flow.
-func (q *query) needsFirstHolder() bool {
-	return q.isFirst() || (q.p.Protocol == ProtocolTCP && q.p.Flags&(FIN|RST) != 0)
-}
-
 func drop(r Reason) Verdict { return Verdict{Action: Drop, Reason: r} }
 
 // Packet decides about one packet. It allocates nothing for a known flow.
@@ -122,66 +98,6 @@
 	return e.resolveTracked(&q)
 }
 
-// packAddress returns the key of an IPv4 address, port and protocol.
-func packAddress(a netip.AddrPort, protocol uint8) (uint64, bool) {
-	if !a.Addr().Is4() {
-		return 0, false
-	}
-	ip := a.Addr().As4()
-	return uint64(binary.BigEndian.Uint32(ip[:]))<<32 | uint64(a.Port())<<8 | uint64(protocol), true
-}
-
-// lookUp finds the service, the flow key and the bucket of a packet.
-func (e *Engine) lookUp(q *query) Reason {
-	p := q.p
-	address, known := p.Service, e.services
-	if p.Direction == FromBackend {
-		address, known = p.Backend, e.backends
-	}
-	packed, ok := packAddress(address, p.Protocol)
-	if !ok {
-		return ReasonMalformed
-	}
-	if q.svc = known[packed]; q.svc == nil {
-		svc, r := e.findService(p)
-		if r != NoReason {
-			return r
-		}
-		q.svc = &svc
-		known[packed] = q.svc
-	}
-	if q.key, ok = makeKey(p.Caller, q.svc.Address, p.Protocol); !ok {
-		return ReasonMalformed
-	}
-	q.hash = q.key.hash()
-	q.number = int(q.hash & uint64(q.svc.Buckets-1))
-	q.bucket = q.svc.Table.Bucket(q.number)
-	return NoReason
-}
-
-// findService finds the service of a packet in the table. A response is of the service of
-// its source: only one endpoint at an address can be present, and earlier
-// instances there are tombstones.
-func (e *Engine) findService(p *Packet) (Service, Reason) {
-	if p.Direction == FromCaller {
-		svc, ok := e.table.Service(p.Service, p.Protocol)
-		if !ok {
-			return svc, ReasonNoService
-		}
-		return svc, NoReason
-	}
-	for _, id := range e.table.EndpointsAt(p.Backend) {
-		ep, ok := e.endpoint(id)
-		if !ok || ep.State == directory.Removed {
-			continue
-		}
-		if svc, ok := e.table.ServiceNamed(ep.Service); ok && svc.Protocol == p.Protocol {
-			return svc, NoReason
-		}
-	}
-	return Service{}, ReasonWrongEndpoint
-}
-
 // resolveSettled applies rules 1 and 3: every flow is on the current endpoint.
 func (e *Engine) resolveSettled(q *query) Verdict {
 	id := q.bucket.Current
