--- a/internal/control/save_test.go
+++ b/internal/control/save_test.go
@@ -8,6 +8,7 @@
 
 	"cassiawood/internal/operator"
 	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
 )
 
 const orderDesk = `The service "order-desk" is reached at 10.20.0.1, port 443.
@@ -126,6 +127,24 @@
 		}
 	})
 
+	// Guards against 'take-back' having nothing to take back after a restart from a snapshot.
+	It("keeps the earlier versions of a section, also in a snapshot", func() {
+		for i, id := range []string{"c1", "c2", "c3"} {
+			result := s.save(s.leader(), change(id, "ann", uint64(i)))
+			s.run(time.Second)
+			Expect(outcome(result).err).NotTo(HaveOccurred())
+		}
+		data, err := wire.EncodeState(s.leader().apply.state.Snapshot())
+		Expect(err).NotTo(HaveOccurred())
+		restored, err := decodeState(data)
+		Expect(err).NotTo(HaveOccurred())
+		section, _ := restored.Section("Orders")
+		Expect(section.Version).To(BeEquivalentTo(3))
+		Expect(section.Earlier).To(HaveLen(2))
+		Expect(section.Earlier[1].ChangeID).To(Equal("c1"))
+		Expect(section.Earlier[1].Text).To(Equal(orderDesk))
+	})
+
 	It("names the leader to operators that ask another control host", func() {
 		for _, h := range s.hosts {
 			if h != s.leader() {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -28,31 +28,47 @@
 	})
 }
 
-// Section returns one section; only the version in force is kept.
+// Section returns one section, in force or as one of the versions that are kept.
 func (b operatorBackend) Section(_ context.Context, heading string, version uint64) (document.Section, error) {
 	return ask(b, func(d *applyDuty) (document.Section, error) {
 		s, ok := d.state.Section(heading)
 		if !ok {
 			return document.Section{}, &operator.NotFound{What: fmt.Sprintf("section %q", heading)}
 		}
-		if version != 0 && version != s.Version {
-			return document.Section{}, &operator.NotFound{What: fmt.Sprintf("version %d of section %q", version, heading)}
+		if version == 0 || version == s.Version {
+			return s.Section, nil
 		}
-		return s.Section, nil
+		for _, r := range s.Earlier {
+			if r.Version == version {
+				return document.Section{Heading: heading, Team: r.Team, Text: r.Text, Version: version}, nil
+			}
+		}
+		return document.Section{}, &operator.NotFound{What: fmt.Sprintf("version %d of section %q", version, heading)}
 	})
 }
 
-// History returns the accepted versions that are kept.
+// History returns the accepted versions that are kept, newest first.
 func (b operatorBackend) History(_ context.Context, heading string) ([]operator.Revision, error) {
 	return ask(b, func(d *applyDuty) ([]operator.Revision, error) {
 		s, ok := d.state.Section(heading)
 		if !ok {
 			return nil, &operator.NotFound{What: fmt.Sprintf("section %q", heading)}
 		}
-		return []operator.Revision{{Version: s.Version, Team: s.Team, Author: s.Author, ChangeID: s.ChangeID}}, nil
+		revisions := []operator.Revision{{
+			Version: s.Version, At: logTime(s.At), Team: s.Team, Author: s.Author, ChangeID: s.ChangeID,
+		}}
+		for _, r := range s.Earlier {
+			revisions = append(revisions, operator.Revision{
+				Version: r.Version, At: logTime(r.At), Team: r.Team, Author: r.Author, ChangeID: r.ChangeID,
+			})
+		}
+		return revisions, nil
 	})
 }
 
+// logTime converts the time of the log, which counts from the Unix epoch.
+func logTime(at time.Duration) time.Time { return time.Unix(0, int64(at)).UTC() }
+
 // Services returns the services in force.
 func (b operatorBackend) Services(context.Context) ([]operator.Service, error) {
 	return ask(b, func(d *applyDuty) ([]operator.Service, error) {
--- a/internal/directory/document.go
+++ b/internal/directory/document.go
@@ -13,7 +13,32 @@
 	document.Section
 	Author   string
 	ChangeID string
+	At       time.Duration // log time of the decision
 	Services []document.Service
+	Earlier  []Revision // replaced versions, newest first
+}
+
+// Revision is a replaced version of a section.
+type Revision struct {
+	Version  uint64
+	At       time.Duration
+	Team     string
+	Author   string
+	ChangeID string
+	Text     string
+}
+
+// maxRevisions bounds the replaced versions that a section keeps. The audit
+// trail names older ones.
+const maxRevisions = 20
+
+// earlier returns the replaced versions after s is replaced too.
+func (s *Section) earlier() []Revision {
+	last := Revision{
+		Version: s.Version, At: s.At, Team: s.Team, Author: s.Author, ChangeID: s.ChangeID, Text: s.Text,
+	}
+	kept := s.Earlier[:min(len(s.Earlier), maxRevisions-1)]
+	return append([]Revision{last}, kept...)
 }
 
 // PendingChange is a prepared change that waits for its decision.
@@ -152,14 +177,17 @@
 // accept puts a checked change into force.
 func (s *State) accept(c ChangePrepared, version uint64) {
 	var before []document.Service
+	var earlier []Revision
 	if old, ok := s.sections[c.Section]; ok {
-		before = old.Services
+		before, earlier = old.Services, old.earlier()
 	}
 	s.sections[c.Section] = &Section{
 		Section:  document.Section{Heading: c.Section, Team: c.Team, Text: c.Text, Version: version},
 		Author:   c.Author,
 		ChangeID: c.ChangeID,
+		At:       s.now,
 		Services: c.Services,
+		Earlier:  earlier,
 	}
 	for _, old := range before {
 		if !slices.ContainsFunc(c.Services, func(n document.Service) bool { return keyOf(n) == keyOf(old) && n.Name == old.Name }) {
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -75,7 +75,7 @@
 		}
 		pb.Sections = append(pb.Sections, &wirepb.SectionState{
 			Heading: s.Heading, Team: s.Team, Author: s.Author, Text: s.Text, Version: s.Version,
-			ChangeId: s.ChangeID, Services: services,
+			ChangeId: s.ChangeID, Services: services, AtNs: int64(s.At), Earlier: revisionsToWire(s.Earlier),
 		})
 	}
 	for _, q := range snap.Quarantine {
@@ -100,6 +100,27 @@
 	return nil
 }
 
+func revisionsToWire(revisions []directory.Revision) []*wirepb.SectionRevision {
+	var list []*wirepb.SectionRevision
+	for _, r := range revisions {
+		list = append(list, &wirepb.SectionRevision{
+			Version: r.Version, AtNs: int64(r.At), Team: r.Team, Author: r.Author, ChangeId: r.ChangeID, Text: r.Text,
+		})
+	}
+	return list
+}
+
+func revisionsFromWire(list []*wirepb.SectionRevision) []directory.Revision {
+	var revisions []directory.Revision
+	for _, r := range list {
+		revisions = append(revisions, directory.Revision{
+			Version: r.GetVersion(), At: time.Duration(r.GetAtNs()), Team: r.GetTeam(), Author: r.GetAuthor(),
+			ChangeID: r.GetChangeId(), Text: r.GetText(),
+		})
+	}
+	return revisions
+}
+
 func documentFromWire(snap *directory.Snapshot, pb *wirepb.DirectoryState) error {
 	for _, s := range pb.GetSections() {
 		services, err := servicesFromWire(s.GetServices())
@@ -109,6 +130,7 @@
 		snap.Sections = append(snap.Sections, directory.Section{
 			Section: document.Section{Heading: s.GetHeading(), Team: s.GetTeam(), Text: s.GetText(), Version: s.GetVersion()},
 			Author:  s.GetAuthor(), ChangeID: s.GetChangeId(), Services: services,
+			At: time.Duration(s.GetAtNs()), Earlier: revisionsFromWire(s.GetEarlier()),
 		})
 	}
 	for _, q := range pb.GetQuarantine() {
