--- a/internal/announce/probe.go
+++ b/internal/announce/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 )
@@ -22,6 +24,29 @@
 	}}
 }
 
+// Load asks a load endpoint for the requests that its backend server has in
+// progress or waiting. ok is false when it did not answer in time.
+func (p *Prober) Load(ctx context.Context, url string) (inFlight int, ok bool) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, false
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var load struct {
+		Busy   int `json:"busy"`
+		Queued int `json:"queued"`
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(&load)
+	if err != nil || response.StatusCode != http.StatusOK || load.Busy < 0 || load.Queued < 0 {
+		return 0, false
+	}
+	return load.Busy + load.Queued, true
+}
+
 // Healthy reports whether the endpoint at url answered 2xx in time.
 func (p *Prober) Healthy(ctx context.Context, url string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- /dev/null
+++ b/internal/entry/balancer.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cassiawood/internal/balance"
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+)
+
+// balancer places the flows of balance-first services. It belongs to the engine
+// duty. A packet front end sees no requests, so a flow counts as one request.
+type balancer struct {
+	host     string
+	random   *rand.Rand
+	now      time.Duration
+	pictures map[string]*balance.Picture // by service
+	known    map[directory.EndpointID]string
+}
+
+func newBalancer(host string, seed uint64) *balancer {
+	return &balancer{
+		host: host, random: rand.New(rand.NewPCG(seed, 0)),
+		pictures: map[string]*balance.Picture{}, known: map[directory.EndpointID]string{},
+	}
+}
+
+func (b *balancer) advance(now time.Duration) {
+	b.now = now
+	for _, p := range b.pictures {
+		p.Advance(now)
+	}
+}
+
+// update follows the directory. An endpoint that joins a service which already
+// has others is cold.
+func (b *balancer) update(state *directory.State) {
+	var hosts []string
+	for _, h := range state.Hosts() {
+		hosts = append(hosts, h.Name)
+	}
+	present := map[directory.EndpointID]bool{}
+	for _, name := range state.Services() {
+		service, _ := state.Service(name)
+		if service.Priority != document.BalanceFirst {
+			continue
+		}
+		picture, ok := b.pictures[name]
+		if !ok {
+			picture = balance.New(balance.Config{Host: b.host, Hosts: hosts}, b.random)
+			picture.Advance(b.now)
+			b.pictures[name] = picture
+		}
+		picture.SetHosts(hosts)
+		for _, id := range service.Members() {
+			present[id] = true
+			if endpoint, found := state.Endpoint(id); found && b.known[id] == "" {
+				picture.Add(id, endpoint.Slots, ok)
+				b.known[id] = name
+			}
+		}
+	}
+	for id, service := range b.known {
+		if !present[id] {
+			b.pictures[service].Remove(id)
+			delete(b.known, id)
+		}
+	}
+}
+
+// choose has the signature of flow.Config.Choose.
+func (b *balancer) choose(service string, candidates []directory.EndpointID) directory.EndpointID {
+	picture, ok := b.pictures[service]
+	if !ok {
+		return candidates[0]
+	}
+	id := picture.Choose(service, candidates)
+	if id != 0 {
+		picture.Sent(id)
+	}
+	return id
+}
+
+// closed has the signature of flow.Config.Closed.
+func (b *balancer) closed(id directory.EndpointID, age time.Duration) {
+	if picture, ok := b.pictures[b.known[id]]; ok {
+		picture.Done(id, balance.Answered, age)
+	}
+}
+
+func (b *balancer) observe(endpoint *directory.Endpoint, report balance.Report) {
+	if picture, ok := b.pictures[endpoint.Service]; ok {
+		picture.Observe(endpoint.ID, report)
+	}
+}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"cassiawood/internal/balance"
 	"cassiawood/internal/directory"
 	"cassiawood/internal/flow"
 	"cassiawood/internal/packet"
@@ -45,6 +46,12 @@
 		instance string
 		accepts  bool
 	}
+	// engineLoad is what a load endpoint said.
+	engineLoad struct {
+		instance string
+		inFlight int
+		at       time.Duration
+	}
 	// engineDirectory asks for a copy of the directory.
 	engineDirectory struct {
 		result *ring.Ring[directory.Snapshot]
@@ -60,6 +67,7 @@
 func (enginePeerHello) isEngineEvent()   {}
 func (enginePeerMessage) isEngineEvent() {}
 func (engineProbe) isEngineEvent()       {}
+func (engineLoad) isEngineEvent()        {}
 func (engineDirectory) isEngineEvent()   {}
 func (engineStop) isEngineEvent()        {}
 func (engineStatus) isEngineEvent()      {}
@@ -82,6 +90,7 @@
 	log      *slog.Logger
 	self     *wirepb.Host
 	flow     *flow.Engine
+	balancer *balancer
 	state    *directory.State
 	fabric   netip.AddrPort
 	out      *ring.Ring[*batch]
@@ -109,6 +118,7 @@
 
 func (d *engineDuty) handle(e engineEvent) error {
 	now := d.clock()
+	d.balancer.advance(now)
 	switch e := e.(type) {
 	case enginePackets:
 		d.packets(now, e.batch)
@@ -133,6 +143,10 @@
 		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
 			d.flow.Heard(now, endpoint.ID, e.accepts)
 		}
+	case engineLoad:
+		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
+			d.balancer.observe(endpoint, balance.Report{InFlight: e.inFlight, At: e.at})
+		}
 	case engineDirectory:
 		e.result.Offer(d.state.Snapshot())
 	case engineStop:
@@ -181,6 +195,7 @@
 func (d *engineDuty) tableChanged(now time.Duration) {
 	d.flow.SetTable(now, flow.TableOf(d.state))
 	d.names.update(d.state)
+	d.balancer.update(d.state)
 	d.updatePeers()
 	d.probes.Offer(d.probeTargets())
 }
@@ -211,8 +226,8 @@
 	targets := []probeTarget{}
 	for _, id := range d.state.Endpoints() {
 		endpoint, _ := d.state.Endpoint(id)
-		if endpoint.State != directory.Removed && endpoint.Domain == d.self.GetDomain() && endpoint.HealthURL != "" {
-			targets = append(targets, probeTarget{instance: endpoint.Instance, url: endpoint.HealthURL})
+		if endpoint.State != directory.Removed && endpoint.Domain == d.self.GetDomain() {
+			targets = append(targets, probeTarget{endpoint.Instance, endpoint.HealthURL, endpoint.LoadURL})
 		}
 	}
 	return targets
--- a/internal/entry/io.go
+++ b/internal/entry/io.go
@@ -59,42 +59,73 @@
 }
 
 // probeTarget is a health endpoint to ask.
-type probeTarget struct{ instance, url string }
+type probeTarget struct{ instance, healthURL, loadURL string }
 
-// proberDuty asks the health endpoints of its failure domain in turn, one at a
-// time, and reports each answer to the engine and to the leader.
+// proberDuty asks the health and load endpoints of its failure domain and
+// reports the answers to the engine, and of health also to the leader.
 type proberDuty struct {
 	prober  *announce.Prober
 	targets *ring.Ring[[]probeTarget]
 	engine  *ring.Ring[engineEvent]
 	control *ring.Ring[controlEvent]
+	clock   func() time.Duration
 }
 
-// probeInterval is the time between two rounds. Three rounds fit into the 3 s in
-// which a leaving backend server must stop receiving new flows.
-const probeInterval = time.Second
+const (
+	// probeInterval is the time between two rounds. Three rounds fit into the 3 s
+	// in which a leaving backend server must stop receiving new flows.
+	probeInterval = time.Second
+	// probeWorkers bounds the probes at once, so that a few endpoints that do
+	// not answer do not hold up the round.
+	probeWorkers = 8
+)
 
 func (d *proberDuty) run(ctx context.Context, _ *duty.Progress) error {
 	current, err := d.targets.Get()
 	if err != nil {
 		return nil
 	}
+	work := ring.New[probeTarget]("probe-work", probeWorkers, ring.Block)
+	defer work.Close()
+	for range probeWorkers {
+		go d.work(ctx, work)
+	}
 	for ctx.Err() == nil {
 		for _, t := range current {
-			healthy := d.prober.Healthy(ctx, t.url)
-			d.engine.Offer(engineProbe{instance: t.instance, accepts: healthy})
-			d.control.Offer(controlProbe{instance: t.instance, healthy: healthy})
+			if _, err := work.Put(t); err != nil {
+				return nil
+			}
 		}
+		sleep(ctx, probeInterval)
 		for d.targets.Depth() > 0 {
 			if current, err = d.targets.Get(); err != nil {
 				return nil
 			}
 		}
-		sleep(ctx, probeInterval)
 	}
 	return nil
 }
 
+func (d *proberDuty) work(ctx context.Context, work *ring.Ring[probeTarget]) {
+	for {
+		t, err := work.Get()
+		if err != nil {
+			return
+		}
+		if t.healthURL != "" {
+			healthy := d.prober.Healthy(ctx, t.healthURL)
+			d.engine.Offer(engineProbe{instance: t.instance, accepts: healthy})
+			d.control.Offer(controlProbe{instance: t.instance, healthy: healthy})
+		}
+		if t.loadURL != "" {
+			asked := d.clock()
+			if inFlight, ok := d.prober.Load(ctx, t.loadURL); ok {
+				d.engine.Offer(engineLoad{instance: t.instance, inFlight: inFlight, at: asked})
+			}
+		}
+	}
+}
+
 // sleep waits for the duration or the end of ctx.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/flow/resolve.go
+++ b/internal/flow/resolve.go
@@ -206,6 +206,9 @@
 	}
 	if en.mark == 0 && closed(en) {
 		en.mark = e.clock
+		if e.cfg.Closed != nil && en.kind == entryRecord && e.holdings[en.holding].first == e.cfg.Host {
+			e.cfg.Closed(en.endpoint, e.clock.since(en.began))
+		}
 	}
 }
 
--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -66,6 +66,9 @@
 	// Choose picks the endpoint of a new flow of a balance-first service, or 0
 	// if none may take it. Without it the bucket's current endpoint is used.
 	Choose func(service string, candidates []directory.EndpointID) directory.EndpointID
+	// Closed is told of the end of a flow that this host placed with Choose and
+	// saw end, with the flow's age; it may be nil.
+	Closed func(id directory.EndpointID, age time.Duration)
 }
 
 // Direction is the direction of a packet.
