Test repeated first packets across a committed move

Measured: the new spec fails for flow 45 without the rule and passes with it; resolution, holder and silence specs pass under the race detector.

--- a/internal/flow/resolve_test.go
+++ b/internal/flow/resolve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -106,4 +107,23 @@
 			l.commit()
 		}
 	})
+
+	// Guards against a second endpoint for a flow whose first packet is repeated after a move
+	// of its bucket was committed (P5).
+	It("finds the endpoint of a repeated first packet after a move", func() {
+		es := enginesOf(l)
+		placed := map[int]directory.EndpointID{}
+		for i := range 100 {
+			placed[i] = es.packet(0, "h0", fromCaller(i, feed, flow.SYN, 0)).Endpoint
+		}
+		l.must(directory.EndpointStateChanged{Instance: instanceOf(placed[0]), State: directory.Draining})
+		es.update(0, l)
+		l.commit()
+		es.settle(l, 0)
+		for i, id := range placed {
+			v := es.packet(3*time.Second, "h2", fromCaller(i, feed, flow.SYN, 0))
+			Expect(v.Action).To(Equal(flow.ForwardToBackend), "flow %d: %v", i, v.Reason)
+			Expect(v.Endpoint).To(Equal(id), "flow %d", i)
+		}
+	})
 })
