Test the engine duty and carry 'passed' in hand-offs

Cause: the flow engine gained a field of the hand-off that the packet option did not carry, so a holder without a whole copy would have been asked in circles; the engine duty had no test. Change: the option carries it (80 bytes at most); tests of rewriting, of responses from elsewhere, of a gap in the log, of contact that proves nothing and of the hand-off's way.

--- /dev/null
+++ b/internal/entry/engine_test.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/flow"
+	"cassiawood/internal/packet"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire/wirepb"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+var (
+	fabric  = netip.MustParseAddrPort("127.0.0.1:6081")
+	service = netip.MustParseAddrPort("10.20.0.1:443")
+	backend = netip.MustParseAddrPort("10.30.0.1:8443")
+	caller  = netip.MustParseAddrPort("10.99.0.1:40000")
+)
+
+// rig is an engine duty whose events and time the test gives.
+type rig struct {
+	duty    *engineDuty
+	now     time.Duration
+	index   uint64
+	control *ring.Ring[controlEvent]
+}
+
+func newRig() *rig {
+	r := &rig{now: time.Minute, control: ring.New[controlEvent]("control", 64, ring.Block)}
+	self := &wirepb.Host{Name: "entry-a1", Domain: "a", Incarnation: 1}
+	placing := newBalancer("entry-a1", 1)
+	r.duty = &engineDuty{
+		log: slog.New(slog.DiscardHandler), self: self, state: directory.New(), fabric: fabric,
+		out: ring.New[*batch]("out", 8, ring.Block), control: r.control,
+		peers:  ring.New[peerCommand]("peers", 64, ring.DropOldest),
+		probes: ring.New[[]probeTarget]("probes", 1, ring.DropOldest), counters: newCounters(metrics.NewRegistry()),
+		clock: func() time.Duration { return r.now }, heard: map[string]heardPeer{}, balancer: placing,
+		flow: flow.New(flow.Config{Host: "entry-a1", Incarnation: 1, Domain: "a", Capacity: 1000, Choose: placing.choose}),
+	}
+	return r
+}
+
+func (r *rig) apply(contact time.Duration, committed uint64, commands ...directory.Command) {
+	GinkgoHelper()
+	e := engineEntries{contact: contact, committed: committed}
+	for _, c := range commands {
+		r.index++
+		e.entries = append(e.entries, directory.Entry{Index: r.index, At: r.now, Command: c})
+	}
+	Expect(r.duty.handle(e)).To(Succeed())
+}
+
+// site fills the directory with one service, one host and one backend server.
+func (r *rig) site() {
+	GinkgoHelper()
+	s := document.Service{Name: "order-desk", Address: service, Protocol: document.TCP, AnnouncedAs: "order-desk"}
+	host := directory.Host{Name: "entry-a1", Incarnation: 1, Domain: "a", PacketAddr: fabric, PeerAddr: fabric}
+	endpoint := directory.Endpoint{
+		Instance: "i1", Service: "order-desk", Address: backend, Domain: "a", Slots: 2, State: directory.Ready,
+	}
+	r.apply(r.now, 7,
+		directory.HostAdded{Host: host}, directory.HostActivated{Name: "entry-a1", Incarnation: 1},
+		directory.ChangePrepared{ChangeID: "c1", Team: "shop", Section: "Orders", Services: []document.Service{s}},
+		directory.ChangeDecided{ChangeID: "c1", Accepted: true},
+		directory.EndpointAdded{Endpoint: endpoint}, directory.MovesCommitted{UpTo: 5}, nil)
+	// A host that was fenced places no flows until its peers have seen that it is back.
+	for range 20 {
+		r.now += time.Second
+		r.apply(r.now, r.index)
+	}
+}
+
+// send passes one TCP packet through the duty and returns what it sends.
+func (r *rig) send(from, to netip.AddrPort, tcp layers.TCP) (headers packet.Headers, target netip.AddrPort) {
+	GinkgoHelper()
+	ip := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP, SrcIP: from.Addr().AsSlice(), DstIP: to.Addr().AsSlice(),
+	}
+	tcp.SrcPort, tcp.DstPort = layers.TCPPort(from.Port()), layers.TCPPort(to.Port())
+	Expect(tcp.SetNetworkLayerForChecksum(ip)).To(Succeed())
+	inner := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	Expect(gopacket.SerializeLayers(inner, options, ip, &tcp)).To(Succeed())
+	datagram := append(packet.AppendGeneve(nil, 1, nil), inner.Bytes()...)
+	b := newBatch()
+	s := &b.slots[0]
+	s.start, s.end = headroom, headroom+copy(s.buffer[headroom:], datagram)
+	b.n = 1
+	Expect(r.duty.handle(enginePackets{batch: b})).To(Succeed())
+	out, err := r.duty.out.Get()
+	Expect(err).NotTo(HaveOccurred())
+	if !out.slots[0].to.IsValid() {
+		return headers, netip.AddrPort{}
+	}
+	var g packet.Geneve
+	Expect(packet.DecodeGeneve(s.buffer[s.start:s.end], &g)).To(Succeed())
+	Expect(packet.Parse(g.Inner, &headers)).To(Succeed())
+	return headers, out.slots[0].to
+}
+
+var _ = Describe("engine duty", func() {
+	var r *rig
+	BeforeEach(func() { r = newRig() })
+
+	It("rewrites a caller's packet to the backend server and the response back", func() {
+		r.site()
+		request, to := r.send(caller, service, layers.TCP{SYN: true, Seq: 7, Window: 1000})
+		Expect(to).To(Equal(fabric))
+		Expect(request.Src).To(Equal(caller))
+		Expect(request.Dst).To(Equal(backend))
+		response, to := r.send(backend, caller, layers.TCP{SYN: true, ACK: true, Ack: 8, Window: 1000})
+		Expect(to).To(Equal(fabric))
+		Expect(response.Src).To(Equal(service))
+		Expect(response.Dst).To(Equal(caller))
+	})
+
+	// Guards against a response from a host that is no backend server reaching a caller (P3).
+	It("drops a response from an address that is no backend server", func() {
+		r.site()
+		r.send(caller, service, layers.TCP{SYN: true, Seq: 7})
+		_, to := r.send(netip.MustParseAddrPort("10.66.0.1:8443"), caller, layers.TCP{ACK: true})
+		Expect(to.IsValid()).To(BeFalse())
+		Expect(r.duty.counters.reasons[flow.ReasonWrongEndpoint].Count()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a table with a missing entry after a control host dropped a batch.
+	It("asks to be served anew when an entry is missing", func() {
+		r.site()
+		r.index++
+		before := r.duty.state.Index()
+		r.apply(r.now, r.index, directory.EndpointRemoved{Instance: "i1"})
+		Expect(r.duty.state.Index()).To(Equal(before))
+		var asked bool
+		for r.control.Depth() > 0 {
+			e, _ := r.control.Get()
+			_, gap := e.(controlGap)
+			asked = asked || gap
+		}
+		Expect(asked).To(BeTrue())
+	})
+
+	// Guards against a host that places flows by a table for which the leader no longer waits.
+	DescribeTable("is fenced by contact that proves nothing", func(prepare func(*rig)) {
+		r.site()
+		Expect(r.duty.flow.Fenced()).To(BeFalse())
+		prepare(r)
+		r.now += 3 * time.Second
+		r.apply(r.now, r.duty.state.Index())
+		Expect(r.duty.handle(engineTick{now: r.now})).To(Succeed())
+		Expect(r.duty.flow.Fenced()).To(BeTrue())
+	},
+		Entry("the directory lists a later incarnation", func(r *rig) {
+			r.apply(0, 0, directory.HostAdded{Host: directory.Host{Name: "entry-a1", Incarnation: 2, Domain: "a"}})
+		}),
+		Entry("the host has left", func(r *rig) {
+			r.apply(0, 0, directory.HostRemoved{Name: "entry-a1", Incarnation: 1})
+		}),
+		Entry("the host is stopping", func(r *rig) { Expect(r.duty.handle(engineStop{})).To(Succeed()) }),
+	)
+
+	// Guards against a hand-off that changes on the way between two hosts.
+	It("carries a hand-off unchanged", func() {
+		r.site()
+		h := flow.Handoff{
+			Present: true, HasRecord: true, Hops: 2, AskedLen: 1, Bucket: 9, Service: "order-desk", Ingress: "entry-a1",
+			AskedAt: 5, Passed: 8, Record: flow.Record{State: flow.Sent, Endpoint: 1, Sequence: 7, Home: 3},
+		}
+		h.Asked[0] = 77
+		option := writeHandoff(&h)
+		var g packet.Geneve
+		Expect(packet.DecodeGeneve(packet.AppendGeneve(nil, 0, &option), &g)).To(Succeed())
+		var got flow.Handoff
+		Expect(r.duty.readHandoff(g.Handoff, &got)).To(BeTrue())
+		Expect(got).To(Equal(h))
+	})
+})
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -97,7 +97,7 @@
 	ingress := d.names.hosts[h.Ingress]
 	*to = flow.Handoff{
 		Present: true, HasRecord: h.HasRecord, Hops: h.Hops, AskedLen: h.AskedLen, Bucket: h.Bucket,
-		Service: service, Ingress: ingress, AskedAt: h.AskedAt,
+		Service: service, Ingress: ingress, AskedAt: h.AskedAt, Passed: flow.DomainID(h.Passed),
 	}
 	for i, domain := range h.Asked[:h.AskedLen] {
 		to.Asked[i] = flow.DomainID(domain)
@@ -114,7 +114,7 @@
 func writeHandoff(h *flow.Handoff) packet.Handoff {
 	out := packet.Handoff{
 		Hops: h.Hops, AskedLen: h.AskedLen, Service: packet.NameHash(h.Service), Ingress: packet.NameHash(h.Ingress),
-		AskedAt: h.AskedAt, Bucket: h.Bucket, HasRecord: h.HasRecord,
+		AskedAt: h.AskedAt, Bucket: h.Bucket, Passed: uint32(h.Passed), HasRecord: h.HasRecord,
 	}
 	for i, domain := range h.Asked[:h.AskedLen] {
 		out.Asked[i] = uint32(domain)
--- a/internal/packet/geneve_test.go
+++ b/internal/packet/geneve_test.go
@@ -17,6 +17,7 @@
 	h := packet.Handoff{
 		Hops: uint8(random.Uint32()), AskedLen: uint8(random.IntN(packet.MaxAsked + 1)), Bucket: random.Uint32(),
 		Service: random.Uint64(), Ingress: random.Uint64(), AskedAt: time.Duration(random.Uint64()),
+		Passed: random.Uint32(),
 	}
 	for i := range h.AskedLen {
 		h.Asked[i] = random.Uint32()
@@ -105,11 +106,11 @@
 			b := damage(packet.AppendGeneve(nil, 0, &handoff)[packet.HeaderLen+4:])
 			Expect(packet.DecodeHandoff(b, &packet.Handoff{})).To(Equal(packet.ErrHandoff))
 		},
-		Entry("short", func(b []byte) []byte { return b[:31] }),
-		Entry("record cut off", func(b []byte) []byte { return b[:40] }),
-		Entry("record missing", func(b []byte) []byte { return b[:36] }),
+		Entry("short", func(b []byte) []byte { return b[:35] }),
+		Entry("record cut off", func(b []byte) []byte { return b[:44] }),
+		Entry("record missing", func(b []byte) []byte { return b[:40] }),
 		Entry("record not expected", func(b []byte) []byte { b[2] = 0; return b }),
-		Entry("record state without a record", func(b []byte) []byte { b[2] = 0; return b[:36] }),
+		Entry("record state without a record", func(b []byte) []byte { b[2] = 0; return b[:40] }),
 		Entry("unknown flag", func(b []byte) []byte { b[2] |= 2; return b }),
 		Entry("more domains than listed", func(b []byte) []byte { b[1] = 2; return b }),
 		Entry("too many domains", func(b []byte) []byte { b[1] = 9; return append(b, make([]byte, 32)...) }),
--- a/internal/packet/handoff.go
+++ b/internal/packet/handoff.go
@@ -32,6 +32,7 @@
 	Ingress   uint64           // NameHash of the host that took the packet from the fabric
 	AskedAt   time.Duration    // clock of the ingress host
 	Bucket    uint32
+	Passed    uint32 // failure domain whose first holder passes the question on; 0 for none
 	HasRecord bool
 	Record    Record // valid if HasRecord
 }
@@ -40,10 +41,10 @@
 func NameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
 // The option data are: hops, number of domains asked, flags (bit 0: record
-// follows), record state; bucket (4), service (8), ingress (8), asked at (8), the domains (4
-// each), and the rest of the record (12).
+// follows), record state; bucket (4), service (8), ingress (8), asked at (8), passed (4), the
+// domains (4 each), and the rest of the record (12).
 const (
-	handoffFixedLen = 32
+	handoffFixedLen = 36
 	askedLen        = 4
 	recordLen       = 12
 	handoffMaxLen   = handoffFixedLen + MaxAsked*askedLen + recordLen
@@ -60,6 +61,7 @@
 	dst = binary.BigEndian.AppendUint64(dst, h.Service)
 	dst = binary.BigEndian.AppendUint64(dst, h.Ingress)
 	dst = binary.BigEndian.AppendUint64(dst, uint64(h.AskedAt))
+	dst = binary.BigEndian.AppendUint32(dst, h.Passed)
 	for _, domain := range h.Asked[:h.AskedLen] {
 		dst = binary.BigEndian.AppendUint32(dst, domain)
 	}
@@ -84,6 +86,7 @@
 		Service:   binary.BigEndian.Uint64(b[8:16]),
 		Ingress:   binary.BigEndian.Uint64(b[16:24]),
 		AskedAt:   time.Duration(binary.BigEndian.Uint64(b[24:32])),
+		Passed:    binary.BigEndian.Uint32(b[32:36]),
 	}
 	want := handoffFixedLen + int(h.AskedLen)*askedLen
 	if h.HasRecord {
