Share links, sessions and the main function of the daemons

Change: wire.Link and wire.AcceptSessions, process.Main; tests of mutual TLS (another authority, no certificate, reload, a broken renewal).

--- a/cmd/cassiawood-control/main.go
+++ b/cmd/cassiawood-control/main.go
@@ -4,14 +4,10 @@
 
 import (
 	"crypto/tls"
-	"errors"
-	"flag"
-	"fmt"
 	"log/slog"
 	"os"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"cassiawood/internal/control"
@@ -22,39 +18,21 @@
 // stopLimit covers the longest answer to an operator that is in progress.
 const stopLimit = 30 * time.Second
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	os.Exit(process.Main(process.Daemon[settings.ControlHost]{
+		Name: "cassiawood-control", Purpose: "keeps the log of changes on a control host",
+		Load: settings.LoadControlHost,
+		TLS:  func(s settings.ControlHost) settings.TLS { return s.TLS },
+		Log:  func(s settings.ControlHost) settings.Log { return s.Log },
+		Check: func(s settings.ControlHost) error {
+			_, err := control.LoadTokens(s.TokensFile)
+			return err
+		},
+		Run: run,
+	}, os.Args[1:]))
+}
 
-func run(args []string) int {
-	flags, err := process.ParseFlags("cassiawood-control", "keeps the log of changes on a control host", args, os.Stderr)
-	if errors.Is(err, flag.ErrHelp) {
-		return process.ExitDone
-	}
-	if err != nil {
-		return process.ExitBadUsage
-	}
-	s, err := settings.LoadControlHost(flags.SettingsFile)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return process.ExitBadUsage
-	}
-	config, err := process.NewTLS(s.TLS)
-	if err == nil {
-		_, err = control.LoadTokens(s.TokensFile)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return process.ExitBadUsage
-	}
-	if flags.CheckOnly {
-		fmt.Println("The settings are in order.")
-		return process.ExitDone
-	}
-	log := process.NewLogger(s.Log, os.Stderr)
+func run(s settings.ControlHost, log *slog.Logger, config *tls.Config) int {
 	return process.Run(log, stopLimit, func() string { return "answers to operators in progress" },
-		fx.Supply(s), fx.Provide(
-			func() *slog.Logger { return log },
-			func() *tls.Config { return config },
-			func() metrics.Registry { return metrics.NewRegistry() },
-		),
-		control.Module)
+		fx.Supply(s), process.Common(log, config), control.Module)
 }
--- a/cmd/cassiawood-entry/main.go
+++ b/cmd/cassiawood-entry/main.go
@@ -3,13 +3,9 @@
 
 import (
 	"crypto/tls"
-	"errors"
-	"flag"
-	"fmt"
 	"log/slog"
 	"os"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 
 	"cassiawood/internal/entry"
@@ -17,37 +13,18 @@
 	"cassiawood/internal/settings"
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	os.Exit(process.Main(process.Daemon[settings.EntryHost]{
+		Name: "cassiawood-entry", Purpose: "balances packets on an entry host",
+		Load: settings.LoadEntryHost,
+		TLS:  func(s settings.EntryHost) settings.TLS { return s.TLS },
+		Log:  func(s settings.EntryHost) settings.Log { return s.Log },
+		Run:  run,
+	}, os.Args[1:]))
+}
 
-func run(args []string) int {
-	flags, err := process.ParseFlags("cassiawood-entry", "balances packets on an entry host", args, os.Stderr)
-	if errors.Is(err, flag.ErrHelp) {
-		return process.ExitDone
-	}
-	if err != nil {
-		return process.ExitBadUsage
-	}
-	s, err := settings.LoadEntryHost(flags.SettingsFile)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return process.ExitBadUsage
-	}
-	config, err := process.NewTLS(s.TLS)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return process.ExitBadUsage
-	}
-	if flags.CheckOnly {
-		fmt.Println("The settings are in order.")
-		return process.ExitDone
-	}
-	log := process.NewLogger(s.Log, os.Stderr)
+func run(s settings.EntryHost, log *slog.Logger, config *tls.Config) int {
 	var host *entry.Host
 	return process.Run(log, settings.Seconds(s.ShutdownLimitSeconds), func() string { return host.Lost() },
-		fx.Supply(s), fx.Provide(
-			func() *slog.Logger { return log },
-			func() *tls.Config { return config },
-			func() metrics.Registry { return metrics.NewRegistry() },
-		),
-		entry.Module, fx.Populate(&host))
+		fx.Supply(s), process.Common(log, config), entry.Module, fx.Populate(&host))
 }
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -18,56 +18,26 @@
 // messages of the log may be lost, so a message that finds no connection is
 // dropped and the next one dials again.
 type memberLink struct {
-	log     *slog.Logger
-	address string
-	tls     *tls.Config
-	outbox  *ring.Ring[changelog.Message]
-
-	session *wire.Session
-	stream  *wire.Stream
+	log    *slog.Logger
+	link   *wire.Link
+	outbox *ring.Ring[changelog.Message]
 }
 
 func (l *memberLink) run(ctx context.Context, progress *duty.Progress) error {
-	defer l.disconnect()
+	defer l.link.Close()
 	for {
 		m, err := l.outbox.Get()
 		if err != nil {
 			return nil
 		}
+		envelope := &wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(m)}}
 		progress.Begin()
-		err = l.send(ctx, m)
+		err = l.link.Send(ctx, envelope)
 		progress.End()
 		if err != nil {
-			l.log.Debug("message to control host lost", "address", l.address, "error", err)
-			l.disconnect()
-		}
-	}
-}
-
-func (l *memberLink) send(ctx context.Context, m changelog.Message) error {
-	if l.stream == nil {
-		if err := l.connect(ctx); err != nil {
-			return err
+			l.log.Debug("message to control host lost", "address", l.link.Address(), "error", err)
 		}
 	}
-	return l.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(m)}})
-}
-
-func (l *memberLink) connect(ctx context.Context) error {
-	session, err := wire.Dial(ctx, l.address, l.tls)
-	if err != nil {
-		return err
-	}
-	l.session = session
-	l.stream, err = session.Open()
-	return err
-}
-
-func (l *memberLink) disconnect() {
-	if l.session != nil {
-		_ = l.session.Close()
-	}
-	l.session, l.stream = nil, nil
 }
 
 // linkServer accepts sessions of control and entry hosts. Each stream has a
@@ -81,28 +51,10 @@
 }
 
 func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	defer stop()
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return fmt.Errorf("accept link: %w", err)
-		}
-		go s.serveSession(ctx, conn)
-	}
+	return wire.AcceptSessions(ctx, s.logger, s.listener, s.tls, s.serveSession)
 }
 
-func (s *linkServer) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := wire.Accept(conn, s.tls)
-	if err != nil {
-		s.logger.Warn("session refused", "from", conn.RemoteAddr(), "error", err)
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
+func (s *linkServer) serveSession(session *wire.Session) {
 	for {
 		stream, err := session.Accept()
 		if err != nil {
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -27,6 +27,7 @@
 	"cassiawood/internal/ring"
 	"cassiawood/internal/settings"
 	"cassiawood/internal/telemetry"
+	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
 )
 
@@ -205,8 +206,8 @@
 		}
 		outbox := ring.New[changelog.Message](fmt.Sprintf("member-%d-out", m.ID), memberOutboxCapacity, ring.DropOldest)
 		h.members[m.ID] = outbox
-		link := &memberLink{log: h.log, address: m.LinkAddress.String(), tls: config, outbox: outbox}
-		h.group.Add(duty.Duty{Name: "link to " + link.address, Run: link.run})
+		link := &memberLink{log: h.log, link: wire.NewLink(m.LinkAddress.String(), config), outbox: outbox}
+		h.group.Add(duty.Duty{Name: "link to " + link.link.Address(), Run: link.run})
 	}
 	logs := &logDuty{log: h.log, node: node, storage: h.storage, apply: h.apply, members: h.members}
 	storing := &storageDuty{store: h.store, log: h.logInbox}
--- a/internal/entry/peer_link.go
+++ b/internal/entry/peer_link.go
@@ -43,11 +43,9 @@
 
 // peerLink sends to one incarnation of a peer.
 type peerLink struct {
-	target  peerTarget
-	outbox  *ring.Ring[*wirepb.Envelope]
-	tls     *tls.Config
-	session *wire.Session
-	stream  *wire.Stream
+	target peerTarget
+	outbox *ring.Ring[*wirepb.Envelope]
+	link   *wire.Link
 }
 
 func (p *peers) handle(c peerCommand) error {
@@ -77,7 +75,7 @@
 			continue
 		}
 		link := &peerLink{
-			target: target, tls: p.tls,
+			target: target, link: wire.NewLink(target.address, p.tls),
 			outbox: ring.New[*wirepb.Envelope]("peer-out-"+host, peerOutboxCapacity, ring.DropOldest),
 		}
 		p.links[host] = link
@@ -92,39 +90,15 @@
 }
 
 func (l *peerLink) run(ctx context.Context) {
-	defer l.disconnect()
+	defer l.link.Close()
 	for {
 		e, err := l.outbox.Get()
 		if err != nil {
 			return
 		}
-		if l.stream == nil && !l.connect(ctx) {
-			continue
-		}
-		if l.stream.Send(e) != nil {
-			l.disconnect()
-		}
-	}
-}
-
-func (l *peerLink) connect(ctx context.Context) bool {
-	session, err := wire.Dial(ctx, l.target.address, l.tls)
-	if err != nil {
-		return false
-	}
-	l.session = session
-	if l.stream, err = session.Open(); err != nil {
-		l.disconnect()
-		return false
-	}
-	return true
-}
-
-func (l *peerLink) disconnect() {
-	if l.session != nil {
-		_ = l.session.Close()
+		// A lost message is repeated by the engine, and the next hello dials again.
+		_ = l.link.Send(ctx, e)
 	}
-	l.session, l.stream = nil, nil
 }
 
 // peerServer accepts the links of other entry hosts. Each stream begins with a
@@ -137,29 +111,10 @@
 }
 
 func (s *peerServer) run(ctx context.Context, _ *duty.Progress) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
-	defer stop()
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return fmt.Errorf("accept peer: %w", err)
-		}
-		go s.serve(ctx, conn)
-	}
+	return wire.AcceptSessions(ctx, s.log, s.listener, s.tls, s.serve)
 }
 
-func (s *peerServer) serve(ctx context.Context, conn net.Conn) {
-	session, err := wire.Accept(conn, s.tls)
-	if err != nil {
-		s.log.Warn("peer refused", "from", conn.RemoteAddr(), "error", err)
-		return
-	}
-	defer func() { _ = session.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
+func (s *peerServer) serve(session *wire.Session) {
 	stream, err := session.Accept()
 	if err != nil {
 		return
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -64,6 +65,58 @@
 	return f, nil
 }
 
+// Daemon describes a daemon to Main.
+type Daemon[S any] struct {
+	Name, Purpose string
+	Load          func(file string) (S, error) // reads and checks the settings
+	TLS           func(S) settings.TLS
+	Log           func(S) settings.Log
+	Check         func(S) error // of files that the settings name; may be nil
+	Run           func(s S, log *slog.Logger, config *tls.Config) int
+}
+
+// Main runs a daemon with the arguments of the command line and returns its exit code.
+func Main[S any](d Daemon[S], args []string) int {
+	flags, err := ParseFlags(d.Name, d.Purpose, args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitDone
+	}
+	if err != nil {
+		return ExitBadUsage
+	}
+	s, config, err := prepare(d, flags.SettingsFile)
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return ExitBadUsage
+	}
+	if flags.CheckOnly {
+		fmt.Println("The settings are in order.")
+		return ExitDone
+	}
+	return d.Run(s, NewLogger(d.Log(s), os.Stderr), config)
+}
+
+func prepare[S any](d Daemon[S], file string) (S, *tls.Config, error) {
+	s, err := d.Load(file)
+	if err != nil {
+		return s, nil, err
+	}
+	config, err := NewTLS(d.TLS(s))
+	if err == nil && d.Check != nil {
+		err = d.Check(s)
+	}
+	return s, config, err
+}
+
+// Common supplies what the modules of both daemons need.
+func Common(log *slog.Logger, config *tls.Config) fx.Option {
+	return fx.Provide(
+		func() *slog.Logger { return log },
+		func() *tls.Config { return config },
+		func() metrics.Registry { return metrics.NewRegistry() },
+	)
+}
+
 // NewLogger returns a logger for checked log settings.
 func NewLogger(s settings.Log, w io.Writer) *slog.Logger {
 	var level slog.Level
--- /dev/null
+++ b/internal/wire/session_test.go
@@ -0,0 +1,122 @@
+package wire_test
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cassiawood/internal/operator"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// site makes the files of a certificate authority and one host.
+func site(t *testing.T, folder string) {
+	t.Helper()
+	authority, err := operator.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := authority.Issue("127.0.0.1", time.Now(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string][]byte{
+		"host.pem": pair.Cert, "host.key": pair.Key, "ca.pem": authority.Pair.Cert,
+	} {
+		if err := os.WriteFile(filepath.Join(folder, name), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func credentials(t *testing.T, folder string) *tls.Config {
+	t.Helper()
+	c, err := wire.NewCredentials(filepath.Join(folder, "host.pem"), filepath.Join(folder, "host.key"), filepath.Join(folder, "ca.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.Mutual()
+}
+
+// exchange sends one envelope from a client to a server and returns what arrived.
+func exchange(t *testing.T, client, server *tls.Config) uint64 {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	arrived := make(chan uint64, 1)
+	go func() {
+		_ = wire.AcceptSessions(ctx, slog.New(slog.DiscardHandler), listener, server, func(s *wire.Session) {
+			index := uint64(0)
+			if stream, err := s.Accept(); err == nil {
+				if e, err := stream.Receive(); err == nil {
+					index = e.GetApplied().GetIndex()
+				}
+			}
+			arrived <- index
+		})
+	}()
+	link := wire.NewLink(listener.Addr().String(), client)
+	defer link.Close()
+	envelope := &wirepb.Envelope{Body: &wirepb.Envelope_Applied{Applied: &wirepb.Applied{Index: 7}}}
+	if link.Send(ctx, envelope) != nil {
+		return 0
+	}
+	return <-arrived
+}
+
+// TestMutualTLS guards against a process without a certificate of the site that
+// follows the log or sends records.
+func TestMutualTLS(t *testing.T) {
+	ours, theirs := t.TempDir(), t.TempDir()
+	site(t, ours)
+	site(t, theirs)
+	insecure := &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13} // a client without a certificate
+	for _, row := range []struct {
+		name           string
+		client, server *tls.Config
+		want           uint64
+	}{
+		{"both of one authority", credentials(t, ours), credentials(t, ours), 7},
+		{"client of another authority", credentials(t, theirs), credentials(t, ours), 0},
+		{"client without a certificate", insecure, credentials(t, ours), 0},
+		{"loopback without TLS", nil, nil, 7},
+	} {
+		if got := exchange(t, row.client, row.server); got != row.want {
+			t.Errorf("%s: index %d arrived, want %d", row.name, got, row.want)
+		}
+	}
+}
+
+// TestCredentialsReload guards against a renewal that needs a restart, and against a
+// broken file that takes away the last good certificate.
+func TestCredentialsReload(t *testing.T) {
+	ours := t.TempDir()
+	site(t, ours)
+	server := credentials(t, ours)
+	site(t, ours)
+	later := time.Now().Add(time.Hour)
+	for _, name := range []string{"host.pem", "host.key", "ca.pem"} {
+		if err := os.Chtimes(filepath.Join(ours, name), later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := exchange(t, credentials(t, ours), server); got != 7 {
+		t.Error("a client of the renewed authority was refused")
+	}
+	if err := os.WriteFile(filepath.Join(ours, "host.key"), []byte("broken"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.GetCertificate(nil); err != nil {
+		t.Errorf("the last good certificate is gone: %v", err)
+	}
+}
