--- a/cmd/cassiawood/commands.go
+++ b/cmd/cassiawood/commands.go
@@ -64,6 +64,12 @@
 			summary: "stop an entry host without breaking a connection",
 			details: "The host hands over what it holds and stops. Needs the site's token.",
 		},
+		{
+			name: "audit", operands: []string{"FILE"}, offline: true, prepare: prepareAudit,
+			summary: "check that nobody has altered an audit trail",
+			details: "Reads a copy of audit.jsonl from a control host's data folder on this machine only. It cannot see\n" +
+				"records that are missing at the end: compare the last record's hash with the one noted earlier.",
+		},
 		{
 			name: "keys", offline: true, prepare: prepareKeys,
 			summary: "make the certificates and tokens of a site",
