--- /dev/null
+++ b/internal/settings/examples_test.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const examples = "../../examples"
+
+// names returns the settings of a struct, as they are written in a file.
+func names(s any) []string {
+	var found []string
+	for _, field := range reflect.VisibleFields(reflect.TypeOf(s)) {
+		found = append(found, field.Tag.Get("json"))
+	}
+	return found
+}
+
+var _ = Describe("the examples", func() {
+	// Guards against an example that no longer loads after a change of the settings.
+	It("load without findings", func() {
+		demo := filepath.Join(examples, "demo")
+		entries, err := filepath.Glob(filepath.Join(demo, "entry-*.json"))
+		Expect(err).NotTo(HaveOccurred())
+		controls, err := filepath.Glob(filepath.Join(demo, "control-*.json"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(HaveLen(6))
+		Expect(controls).To(HaveLen(3))
+		for _, file := range append(entries, filepath.Join(examples, "entry.json")) {
+			_, err := LoadEntryHost(file)
+			Expect(err).NotTo(HaveOccurred(), file)
+		}
+		for _, file := range append(controls, filepath.Join(examples, "control.json")) {
+			_, err := LoadControlHost(file)
+			Expect(err).NotTo(HaveOccurred(), file)
+		}
+	})
+
+	// Guards against a setting that operators cannot find in the examples, and against
+	// examples for a real site that have no TLS.
+	It("for a real site show every setting and TLS", func() {
+		entry, err := LoadEntryHost(filepath.Join(examples, "entry.json"))
+		Expect(err).NotTo(HaveOccurred())
+		control, err := LoadControlHost(filepath.Join(examples, "control.json"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entry.TLS.AuthorityFile).NotTo(BeEmpty())
+		Expect(control.TLS.AuthorityFile).NotTo(BeEmpty())
+
+		parts := map[string][]any{
+			"entry.json":   {entry, TLS{}, Log{}},
+			"control.json": {control, ControlMember{}, TLS{}, Log{}},
+		}
+		for file, settings := range parts {
+			written := readFile(filepath.Join(examples, file))
+			for _, part := range settings {
+				for _, name := range names(part) {
+					Expect(written).To(ContainSubstring(`"`+name+`":`), file)
+				}
+			}
+		}
+	})
+})
+
+func readFile(file string) string {
+	GinkgoHelper()
+	text, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
