--- /dev/null
+++ b/internal/flow/capacity_bench_test.go
@@ -0,0 +1,93 @@
+package flow_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/document"
+	"cassiawood/internal/flow"
+)
+
+// capacityLog has services with 5 endpoints each and hosts in up to 18 failure domains.
+func capacityLog(services, hosts int) *tableLog {
+	l := &tableLog{head: directory.New()}
+	for i := range hosts {
+		name := fmt.Sprint("h", i)
+		l.must(directory.HostAdded{Host: directory.Host{Name: name, Incarnation: 1, Domain: fmt.Sprint("d", i%18)}})
+		l.must(directory.HostActivated{Name: name, Incarnation: 1})
+	}
+	for i := range services {
+		name := fmt.Sprint("s", i)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 443)
+		l.must(directory.ChangePrepared{ChangeID: name, Team: "t", Section: name, Services: []document.Service{
+			{Name: name, AnnouncedAs: name, Protocol: document.TCP, Address: address},
+		}})
+		l.must(directory.ChangeDecided{ChangeID: name, Accepted: true})
+		for n := range 5 {
+			l.must(directory.EndpointAdded{Endpoint: capacityEndpoint(i, n, 0)})
+		}
+		l.commitPrepared()
+		l.commitPrepared()
+	}
+	return l
+}
+
+func (l *tableLog) commitPrepared() {
+	l.apply(0, directory.MovesCommitted{UpTo: uint64(len(l.entries))})
+}
+
+func capacityEndpoint(service, n, generation int) directory.Endpoint {
+	return directory.Endpoint{
+		Instance: fmt.Sprintf("s%d-%d-%d", service, n, generation), Service: fmt.Sprint("s", service), Slots: 2, State: directory.Ready,
+		Domain:  fmt.Sprint("d", n%18),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(20 + service>>8), byte(service), byte(n)}), 8080),
+	}
+}
+
+// replace drains an endpoint and adds its successor; the buckets stay tracked.
+func (l *tableLog) replace(service, n, generation int) {
+	l.must(directory.EndpointStateChanged{Instance: capacityEndpoint(service, n, generation).Instance, State: directory.Draining})
+	l.commitPrepared()
+	l.must(directory.EndpointAdded{Endpoint: capacityEndpoint(service, n, generation+1)})
+	l.commitPrepared()
+}
+
+// BenchmarkCapacitySetTable measures a table change, which each entry batch causes: with all
+// buckets settled, and with one endpoint of each service replaced.
+func BenchmarkCapacitySetTable(b *testing.B) {
+	for _, size := range []struct{ services, hosts int }{{20, 10}, {200, 100}, {2400, 1200}} {
+		l := capacityLog(size.services, size.hosts)
+		for _, replaced := range []bool{false, true} {
+			if replaced {
+				for i := range size.services {
+					l.replace(i, 0, 0)
+				}
+			}
+			b.Run(fmt.Sprintf("endpoints=%d/replaced=%t", 5*size.services, replaced), func(b *testing.B) {
+				before := capacityHeap()
+				e := flow.New(flow.Config{Host: "h0", Incarnation: 1, Domain: "d0"})
+				e.Contact(1000 * time.Hour)
+				e.SetTable(0, flow.TableOf(l.head))
+				e.Ready()
+				b.ReportAllocs()
+				for b.Loop() {
+					e.SetTable(time.Second, flow.TableOf(l.head))
+					e.Ready()
+				}
+				b.ReportMetric(float64(capacityHeap()-before)/(1<<20), "MiB/engine")
+				runtime.KeepAlive(e)
+			})
+		}
+	}
+}
+
+func capacityHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
