--- a/internal/flow/capacity_bench_test.go
+++ b/internal/flow/capacity_bench_test.go
@@ -17,18 +17,18 @@
 	l := &tableLog{head: directory.New()}
 	for i := range hosts {
 		name := fmt.Sprint("h", i)
-		l.must(directory.HostAdded{Host: directory.Host{Name: name, Incarnation: 1, Domain: fmt.Sprint("d", i%18)}})
-		l.must(directory.HostActivated{Name: name, Incarnation: 1})
+		l.mustApply(directory.HostAdded{Host: directory.Host{Name: name, Incarnation: 1, Domain: fmt.Sprint("d", i%18)}})
+		l.mustApply(directory.HostActivated{Name: name, Incarnation: 1})
 	}
 	for i := range services {
 		name := fmt.Sprint("s", i)
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 443)
-		l.must(directory.ChangePrepared{ChangeID: name, Team: "t", Section: name, Services: []document.Service{
+		l.mustApply(directory.ChangePrepared{ChangeID: name, Team: "t", Section: name, Services: []document.Service{
 			{Name: name, AnnouncedAs: name, Protocol: document.TCP, Address: address},
 		}})
-		l.must(directory.ChangeDecided{ChangeID: name, Accepted: true})
+		l.mustApply(directory.ChangeDecided{ChangeID: name, Accepted: true})
 		for n := range 5 {
-			l.must(directory.EndpointAdded{Endpoint: capacityEndpoint(i, n, 0)})
+			l.mustApply(directory.EndpointAdded{Endpoint: capacityEndpoint(i, n, 0)})
 		}
 		l.commitPrepared()
 		l.commitPrepared()
@@ -36,6 +36,13 @@
 	return l
 }
 
+// mustApply is must outside Ginkgo.
+func (l *tableLog) mustApply(c directory.Command) {
+	if out := l.apply(0, c); out.Reason != "" {
+		panic(out.Reason)
+	}
+}
+
 func (l *tableLog) commitPrepared() {
 	l.apply(0, directory.MovesCommitted{UpTo: uint64(len(l.entries))})
 }
@@ -50,9 +57,9 @@
 
 // replace drains an endpoint and adds its successor; the buckets stay tracked.
 func (l *tableLog) replace(service, n, generation int) {
-	l.must(directory.EndpointStateChanged{Instance: capacityEndpoint(service, n, generation).Instance, State: directory.Draining})
+	l.mustApply(directory.EndpointStateChanged{Instance: capacityEndpoint(service, n, generation).Instance, State: directory.Draining})
 	l.commitPrepared()
-	l.must(directory.EndpointAdded{Endpoint: capacityEndpoint(service, n, generation+1)})
+	l.mustApply(directory.EndpointAdded{Endpoint: capacityEndpoint(service, n, generation+1)})
 	l.commitPrepared()
 }
 
--- a/internal/wire/capacity_bench_test.go
+++ b/internal/wire/capacity_bench_test.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -230,6 +231,32 @@
 	b.ReportMetric(float64(cpuTime(b)-cpu)/float64(b.N), "cpu-ns/session")
 }
 
+// BenchmarkCapacitySession reports the memory of a session with one stream that has carried a
+// message, both ends together, heap and stacks.
+func BenchmarkCapacitySession(b *testing.B) {
+	config := capacityTLS(b)
+	hello := capacityMessages(b)["peer-hello"]
+	for _, sessions := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("sessions=%d", sessions), func(b *testing.B) {
+			for range b.N {
+				before := capacityMemory()
+				for range sessions {
+					sender, receiver, _ := capacitySession(b, config)
+					sendAndReceive(b, sender, receiver, hello)
+				}
+				b.ReportMetric(float64(capacityMemory()-before)/float64(sessions), "B/session")
+			}
+		})
+	}
+}
+
+func capacityMemory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
 // BenchmarkCapacitySnapshot measures snapshots at 100, 1,000 and 12,000 endpoints.
 func BenchmarkCapacitySnapshot(b *testing.B) {
 	for _, services := range []int{20, 200, 2400} {
