--- a/internal/flow/capacity_bench_test.go
+++ b/internal/flow/capacity_bench_test.go
@@ -98,3 +98,27 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkCapacityDay measures a table change with 1,200 hosts after each endpoint was
+// replaced once, as within a day before the tombstones go.
+func BenchmarkCapacityDay(b *testing.B) {
+	for _, services := range []int{20, 60, 200} {
+		l := capacityLog(services, 1200)
+		for i := range 5 * services {
+			l.replace(i%services, i/services, 0)
+		}
+		b.Run(fmt.Sprintf("endpoints=%d", 5*services), func(b *testing.B) {
+			before := capacityHeap()
+			e := flow.New(flow.Config{Host: "h0", Incarnation: 1, Domain: "d0"})
+			e.Contact(1000 * time.Hour)
+			e.SetTable(0, flow.TableOf(l.head))
+			e.Ready()
+			for b.Loop() {
+				e.SetTable(time.Second, flow.TableOf(l.head))
+				e.Ready()
+			}
+			b.ReportMetric(float64(capacityHeap()-before)/(1<<20), "MiB/engine")
+			runtime.KeepAlive(e)
+		})
+	}
+}
