--- a/internal/entry/capacity_bench_test.go
+++ b/internal/entry/capacity_bench_test.go
@@ -158,3 +158,31 @@
 		b.Run(fmt.Sprintf("entry/endpoints=%d", 5*services), func(b *testing.B) { run(b, startPackets(b, services, fabric)) })
 	}
 }
+
+// BenchmarkCapacityTableChanged measures what the engine duty does after each entry batch, with
+// the names and peers that follow the table, with settled buckets and no links.
+func BenchmarkCapacityTableChanged(b *testing.B) {
+	for _, size := range []struct{ services, hosts int }{{20, 10}, {200, 100}, {2400, 1200}} {
+		state := capacityDirectory(size.services)
+		for i := 1; i < size.hosts; i++ {
+			host := directory.Host{Name: fmt.Sprint("h", i), Incarnation: 1, Domain: fmt.Sprint("d", i%18)}
+			state.Apply(directory.Entry{Index: state.Index() + 1, Command: directory.HostAdded{Host: host}})
+			state.Apply(directory.Entry{Index: state.Index() + 1, Command: directory.HostActivated{Name: host.Name, Incarnation: 1}})
+		}
+		registry := metrics.NewRegistry()
+		r := newRings(registry)
+		engine := &engineDuty{
+			log: slog.New(slog.NewTextHandler(io.Discard, nil)), self: &wirepb.Host{Name: "h0", Incarnation: 1, Domain: "d0"},
+			state: state, control: r.control, peers: r.peers, probes: r.probes, counters: newCounters(registry),
+			heard: map[string]heardPeer{}, flow: flow.New(flow.Config{Host: "h0", Incarnation: 1, Domain: "d0"}),
+		}
+		b.Run(fmt.Sprintf("endpoints=%d", 5*size.services), func(b *testing.B) {
+			for b.Loop() {
+				engine.tableChanged(time.Second)
+				if _, err := r.peers.Get(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
