Report only probes that tell the leader something

Cause: every probe of every host went to the leader; docs/CAPACITY.md works that out to 480,000 reports a second at the two-year size. Change: failures are reported, the first success after one, and successes while the endpoint is suspected. Result: a healthy backend server causes 0 reports (before 1 a second and host of its failure domain); the new spec guards it and that failures count only in a row.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -103,6 +103,7 @@
 	names       names
 	heard       map[string]heardPeer
 	peerHosts   map[string]directory.Host // those with a link
+	reported    map[string]bool           // instances whose last reported probe failed
 	lastHello   time.Duration
 	lastSeen    time.Duration
 	acknowledge uint64
@@ -140,9 +141,7 @@
 	case enginePeerMessage:
 		d.peerMessage(now, e.from, e.message)
 	case engineProbe:
-		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
-			d.flow.Heard(now, endpoint.ID, e.accepts)
-		}
+		d.probed(now, e)
 	case engineLoad:
 		if endpoint, ok := d.state.EndpointByInstance(e.instance); ok {
 			d.balancer.observe(endpoint, balance.Report{InFlight: e.inFlight, At: e.at})
@@ -160,6 +159,23 @@
 	return nil
 }
 
+// probed notes a probe. The leader hears of failures, and of successes only while they
+// can end a suspicion: reports of every probe would exceed the control traffic
+// allowed (docs/CAPACITY.md).
+func (d *engineDuty) probed(now time.Duration, e engineProbe) {
+	endpoint, ok := d.state.EndpointByInstance(e.instance)
+	if !ok {
+		return
+	}
+	d.flow.Heard(now, endpoint.ID, e.accepts)
+	if e.accepts && !endpoint.Suspected && !d.reported[e.instance] {
+		return
+	}
+	// A success after a failure is reported too, so that the leader counts only failures in a row.
+	d.reported[e.instance] = !e.accepts
+	d.control.Offer(controlProbe{instance: e.instance, healthy: e.accepts})
+}
+
 // entries applies log entries in order. A gap means that the control host
 // dropped a batch under load; the engine asks to be served anew from its index.
 func (d *engineDuty) entries(now time.Duration, e engineEntries) {
@@ -207,7 +223,22 @@
 	d.names.update(d.state)
 	d.balancer.update(d.state)
 	d.updatePeers()
-	d.probes.Offer(d.probeTargets())
+	targets := d.probeTargets()
+	d.probes.Offer(targets)
+	d.forgetReports(targets)
+}
+
+// forgetReports drops the notes on instances that are no longer probed.
+func (d *engineDuty) forgetReports(targets []probeTarget) {
+	probed := map[string]bool{}
+	for _, t := range targets {
+		probed[t.instance] = true
+	}
+	for instance := range d.reported {
+		if !probed[instance] {
+			delete(d.reported, instance)
+		}
+	}
 }
 
 // updatePeers keeps links to the hosts that the directory lists, and to those that it no
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -49,7 +49,7 @@
 		out: ring.New[*batch]("out", 8, ring.Block), control: r.control,
 		peers:  ring.New[peerCommand]("peers", 64, ring.DropOldest),
 		probes: ring.New[[]probeTarget]("probes", 1, ring.DropOldest), counters: newCounters(metrics.NewRegistry()),
-		clock: func() time.Duration { return r.now }, heard: map[string]heardPeer{}, balancer: placing,
+		clock: func() time.Duration { return r.now }, heard: map[string]heardPeer{}, reported: map[string]bool{}, balancer: placing,
 		flow: flow.New(flow.Config{Host: "entry-a1", Incarnation: 1, Domain: "a", Capacity: 1000, Choose: placing.choose}),
 	}
 	return r
@@ -173,6 +173,31 @@
 		Entry("the host is stopping", func(r *rig) { Expect(r.duty.handle(engineStop{})).To(Succeed()) }),
 	)
 
+	// Guards against control traffic that grows with the number of backend servers.
+	It("reports to the leader only probes that tell something", func() {
+		r.site()
+		reports := func(accepts bool) int {
+			for r.control.Depth() > 0 {
+				_, _ = r.control.Get()
+			}
+			Expect(r.duty.handle(engineProbe{instance: "i1", accepts: accepts})).To(Succeed())
+			return r.control.Depth()
+		}
+		Expect(reports(true)).To(Equal(0))
+		Expect(reports(false)).To(Equal(1))
+		Expect(reports(true)).To(Equal(1), "the failures are no longer in a row")
+		Expect(reports(true)).To(Equal(0))
+		other := directory.Endpoint{
+			Instance: "i2", Service: "order-desk", Address: netip.MustParseAddrPort("10.30.0.2:8443"), Domain: "a",
+			Slots: 2, State: directory.Ready,
+		}
+		third := other
+		third.Instance, third.Address = "i3", netip.MustParseAddrPort("10.30.0.3:8443")
+		r.apply(r.now, r.index+3, directory.EndpointAdded{Endpoint: other}, directory.EndpointAdded{Endpoint: third},
+			directory.EndpointSuspected{Instance: "i1", Suspected: true})
+		Expect(reports(true)).To(Equal(1), "a success can end the suspicion")
+	})
+
 	// Guards against a hand-off that changes on the way between two hosts.
 	It("carries a hand-off unchanged", func() {
 		r.site()
--- a/internal/entry/io.go
+++ b/internal/entry/io.go
@@ -62,12 +62,11 @@
 type probeTarget struct{ instance, healthURL, loadURL string }
 
 // proberDuty asks the health and load endpoints of its failure domain and
-// reports the answers to the engine, and of health also to the leader.
+// reports the answers to the engine.
 type proberDuty struct {
 	prober  *announce.Prober
 	targets *ring.Ring[[]probeTarget]
 	engine  *ring.Ring[engineEvent]
-	control *ring.Ring[controlEvent]
 	clock   func() time.Duration
 }
 
@@ -115,7 +114,6 @@
 		if t.healthURL != "" {
 			healthy := d.prober.Healthy(ctx, t.healthURL)
 			d.engine.Offer(engineProbe{instance: t.instance, accepts: healthy})
-			d.control.Offer(controlProbe{instance: t.instance, healthy: healthy})
 		}
 		if t.loadURL != "" {
 			asked := d.clock()
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -126,7 +126,7 @@
 	placing := newBalancer(self.GetName(), self.GetIncarnation())
 	engine := &engineDuty{
 		log: log, self: self, state: directory.New(), fabric: s.FabricAddress, out: r.out, control: r.control,
-		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, heard: map[string]heardPeer{}, balancer: placing,
+		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, heard: map[string]heardPeer{}, reported: map[string]bool{}, balancer: placing,
 		flow: flow.New(flow.Config{
 			Host: self.GetName(), Incarnation: self.GetIncarnation(), Domain: self.GetDomain(),
 			Seed: self.GetIncarnation(), Capacity: s.MaxFlows,
@@ -156,7 +156,7 @@
 	reader := &readerDuty{socket: k.packets, free: r.free, engine: r.engine}
 	writer := &writerDuty{conn: ipv4.NewPacketConn(k.packets), free: r.free}
 	peerServer := &peerServer{log: h.log, listener: k.peers, tls: config, engine: r.engine}
-	prober := &proberDuty{prober: announce.NewProber(), targets: r.probes, engine: r.engine, control: r.control, clock: clock}
+	prober := &proberDuty{prober: announce.NewProber(), targets: r.probes, engine: r.engine, clock: clock}
 	boot := &bootstrapDuty{log: h.log, tls: config, engine: r.engine}
 	for _, a := range h.settings.PeerHosts {
 		boot.peers = append(boot.peers, a.String())
