Drain a host that an operator drains, and mend what the manual's author found

Cause: running the manual showed that 'drain' let the host join again within 3 s, that other control hosts than the leader showed all entry hosts as silent, that 'out-of-service' took unknown failure domains, that '-check' passed over operatorTls, and that start failures began with the internals of fx. Change: a removal says whether it is a drain, and the host then hands over and stops; the other points as expected; ended silent flows are counted. Result: new specs pass; unit tests of the packages touched pass.

--- a/cmd/cassiawood-control/main.go
+++ b/cmd/cassiawood-control/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"log/slog"
 	"os"
 	"time"
@@ -25,8 +26,9 @@
 		TLS:  func(s settings.ControlHost) settings.TLS { return s.TLS },
 		Log:  func(s settings.ControlHost) settings.Log { return s.Log },
 		Check: func(s settings.ControlHost) error {
-			_, err := control.LoadTokens(s.TokensFile)
-			return err
+			_, errTokens := control.LoadTokens(s.TokensFile)
+			_, errTLS := tls.LoadX509KeyPair(s.OperatorTLS.CertificateFile, s.OperatorTLS.KeyFile)
+			return errors.Join(errTokens, errTLS)
 		},
 		Run: run,
 	}, os.Args[1:]))
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"cassiawood/internal/directory"
@@ -145,7 +146,8 @@
 		}
 		seen := d.confirmed[h.Name]
 		view.Behind = d.state.Index() - min(seen.index, d.state.Index())
-		if d.now-seen.at > hostContactAge {
+		// Only the leader hears from every entry host.
+		if d.leases.Leading() && d.now-seen.at > hostContactAge {
 			view.State = "silent"
 		}
 		hosts = append(hosts, view)
@@ -196,6 +198,9 @@
 		if err := d.checkLeads(); err != nil {
 			return struct{}{}, err
 		}
+		if !slices.Contains(d.domains, change.Domain) {
+			return struct{}{}, &operator.NotFound{What: fmt.Sprintf("failure domain %q", change.Domain)}
+		}
 		if !d.propose(directory.DomainService{Domain: change.Domain, Out: change.Out, Author: change.Author}) {
 			return struct{}{}, &operator.NoQuorum{Reason: "the log takes no proposals"}
 		}
@@ -214,7 +219,7 @@
 		if !ok {
 			return struct{}{}, &operator.NotFound{What: fmt.Sprintf("host %q", drain.Host)}
 		}
-		if !d.propose(directory.HostRemoved{Name: h.Name, Incarnation: h.Incarnation}) {
+		if !d.propose(directory.HostRemoved{Name: h.Name, Incarnation: h.Incarnation, Drain: true}) {
 			return struct{}{}, &operator.NoQuorum{Reason: "the log takes no proposals"}
 		}
 		return struct{}{}, nil
--- a/internal/directory/types.go
+++ b/internal/directory/types.go
@@ -134,10 +134,12 @@
 	Incarnation uint64
 }
 
-// HostRemoved removes an incarnation of an entry host.
+// HostRemoved removes an incarnation of an entry host. With Drain set, an
+// operator asks the host to hand over and stop; without it, the host may join again.
 type HostRemoved struct {
 	Name        string
 	Incarnation uint64
+	Drain       bool
 }
 
 // DomainService declares a failure domain out of service, or in service again.
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -9,12 +9,16 @@
 // counters count packets by what was decided. Only the engine duty adds to them.
 type counters struct {
 	malformed metrics.Counter
+	silent    metrics.Counter // flows ended because their backend server lost track of them
 	actions   [flow.Reset + 1]metrics.Counter
 	reasons   [flow.ReasonCount]metrics.Counter
 }
 
 func newCounters(registry metrics.Registry) *counters {
-	c := &counters{malformed: metrics.NewRegisteredCounter("packets.malformed", registry)}
+	c := &counters{
+		malformed: metrics.NewRegisteredCounter("packets.malformed", registry),
+		silent:    metrics.NewRegisteredCounter("flows.silent-ended", registry),
+	}
 	for i, name := range [...]string{"dropped", "to-backend", "to-caller", "handed-off", "reset"} {
 		c.actions[i] = metrics.NewRegisteredCounter("packets."+name, registry)
 	}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -99,6 +99,7 @@
 	probes   *ring.Ring[[]probeTarget]
 	counters *counters
 	clock    func() time.Duration
+	drained  func() // begins the planned stop of the process
 
 	names       names
 	heard       map[string]heardPeer
@@ -149,9 +150,7 @@
 	case engineDirectory:
 		e.result.Offer(d.state.Snapshot())
 	case engineStop:
-		d.stopping = true
-		d.flow.Stop(now)
-		d.control.Offer(controlStop{})
+		d.beginStop(now)
 	case engineStatus:
 		e.result.Offer(d.report(now))
 	}
@@ -189,6 +188,11 @@
 			return
 		}
 		d.state.Apply(entry)
+		if removed, ok := entry.Command.(directory.HostRemoved); ok && removed.Drain && d.isSelf(removed) {
+			d.log.Info("an operator drains this host")
+			d.beginStop(now)
+			d.drained()
+		}
 		// The engine has to see each table: a holder that was replaced and is a holder again
 		// within one batch must not take its old records for a whole copy.
 		if changesTable(entry.Command) {
@@ -200,6 +204,21 @@
 	}
 }
 
+// beginStop starts the handover. It comes before the table without this host, so
+// that the flow engine notes which copies it has to wait for.
+func (d *engineDuty) beginStop(now time.Duration) {
+	if d.stopping {
+		return
+	}
+	d.stopping = true
+	d.flow.Stop(now)
+	d.control.Offer(controlStop{})
+}
+
+func (d *engineDuty) isSelf(r directory.HostRemoved) bool {
+	return r.Name == d.self.GetName() && r.Incarnation == d.self.GetIncarnation()
+}
+
 // changesTable reports whether a command may change services, endpoints, hosts or moves.
 func changesTable(c directory.Command) bool {
 	switch c.(type) {
@@ -378,6 +397,7 @@
 		s.start, s.end = headroom, headroom+len(inner)
 		d.wrap(s, d.fabric, nil)
 		b.n++
+		d.counters.silent.Inc(1)
 	}
 	if _, err := d.out.Put(b); err != nil {
 		d.log.Warn("resets not sent", "error", err)
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -173,6 +173,20 @@
 		Entry("the host is stopping", func(r *rig) { Expect(r.duty.handle(engineStop{})).To(Succeed()) }),
 	)
 
+	// Guards against a drained host that goes on and joins again, and against one
+	// that was only silent for a while and is stopped.
+	DescribeTable("stops when an operator drains it", func(drain, stops bool) {
+		r.site()
+		asked := false
+		r.duty.drained = func() { asked = true }
+		r.apply(r.now, r.index+1, directory.HostRemoved{Name: "entry-a1", Incarnation: 1, Drain: drain})
+		Expect(asked).To(Equal(stops))
+		Expect(r.duty.flow.Stopping()).To(Equal(stops))
+	},
+		Entry("drained", true, true),
+		Entry("removed after a silence", false, false),
+	)
+
 	// Guards against control traffic that grows with the number of backend servers.
 	It("reports to the leader only probes that tell something", func() {
 		r.site()
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -126,7 +126,7 @@
 	placing := newBalancer(self.GetName(), self.GetIncarnation())
 	engine := &engineDuty{
 		log: log, self: self, state: directory.New(), fabric: s.FabricAddress, out: r.out, control: r.control,
-		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, heard: map[string]heardPeer{}, reported: map[string]bool{}, balancer: placing,
+		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, drained: func() { _ = shutdown.Shutdown(fx.ExitCode(0)) }, heard: map[string]heardPeer{}, reported: map[string]bool{}, balancer: placing,
 		flow: flow.New(flow.Config{
 			Host: self.GetName(), Incarnation: self.GetIncarnation(), Domain: self.GetDomain(),
 			Seed: self.GetIncarnation(), Capacity: s.MaxFlows,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -148,7 +149,7 @@
 	app := fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))...)
 	if err := app.Err(); err != nil {
-		log.Error("start failed", "error", err)
+		log.Error("start failed", "error", dig.RootCause(err))
 		return ExitFailed
 	}
 	signals := make(chan os.Signal, 2)
--- a/internal/wire/directory.go
+++ b/internal/wire/directory.go
@@ -118,7 +118,7 @@
 		body := &wirepb.HostRef{Name: c.Name, Incarnation: c.Incarnation}
 		return &wirepb.Command{Body: &wirepb.Command_HostActivated{HostActivated: body}}, nil
 	case directory.HostRemoved:
-		body := &wirepb.HostRef{Name: c.Name, Incarnation: c.Incarnation}
+		body := &wirepb.HostRef{Name: c.Name, Incarnation: c.Incarnation, Drain: c.Drain}
 		return &wirepb.Command{Body: &wirepb.Command_HostRemoved{HostRemoved: body}}, nil
 	case directory.DomainService:
 		body := &wirepb.DomainService{Domain: c.Domain, Out: c.Out, Author: c.Author}
@@ -160,7 +160,9 @@
 	case *wirepb.Command_HostActivated:
 		return directory.HostActivated{Name: body.HostActivated.GetName(), Incarnation: body.HostActivated.GetIncarnation()}, nil
 	case *wirepb.Command_HostRemoved:
-		return directory.HostRemoved{Name: body.HostRemoved.GetName(), Incarnation: body.HostRemoved.GetIncarnation()}, nil
+		return directory.HostRemoved{
+			Name: body.HostRemoved.GetName(), Incarnation: body.HostRemoved.GetIncarnation(), Drain: body.HostRemoved.GetDrain(),
+		}, nil
 	case *wirepb.Command_DomainService:
 		b := body.DomainService
 		return directory.DomainService{Domain: b.GetDomain(), Out: b.GetOut(), Author: b.GetAuthor()}, nil
