--- /dev/null
+++ b/internal/e2e/e2e_suite_test.go
@@ -0,0 +1,41 @@
+// Package e2e tests the real binaries as processes on loopback addresses, with
+// the lab's fabric, callers and backend servers in the test process.
+package e2e
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// never is far beyond any run, so that a test waits for events only; the limit
+// of go test ends a run that hangs.
+const never = 10 * time.Minute
+
+// poll is the interval at which a test looks for an event.
+const poll = 50 * time.Millisecond
+
+// root is the folder of the repository.
+const root = "../.."
+
+// binaries is the folder with the binaries under test.
+var binaries string
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "e2e")
+}
+
+var _ = BeforeSuite(func() {
+	binaries = GinkgoT().TempDir()
+	command := exec.Command("go", "build", "-o", binaries, "./cmd/cassiawood-entry", "./cmd/cassiawood-control")
+	command.Dir = root
+	output, err := command.CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+})
+
+func binary(name string) string { return filepath.Join(binaries, name) }
--- /dev/null
+++ b/internal/e2e/load_test.go
@@ -0,0 +1,163 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/lab"
+)
+
+const (
+	backendsPerService = 6
+	connections        = 40
+	// noticeTime is the time after which the fabric stops spraying to an entry
+	// host that has gone.
+	noticeTime = time.Second
+)
+
+// service is a service of the demo's document.
+type service struct {
+	name   string
+	target netip.AddrPort
+	// perConnection is the number of requests after which callers open a new
+	// connection; 0 keeps connections open.
+	perConnection int
+}
+
+var services = []service{
+	{"order-desk", netip.MustParseAddrPort("10.20.0.1:443"), 0},
+	{"sheet-print", netip.MustParseAddrPort("10.20.0.2:443"), 5},
+}
+
+// load is a site under load.
+type load struct {
+	*site
+	*lab.Lab
+}
+
+// startLoad starts a site, its backend servers and its callers, and waits until
+// every service has answered requests on all its connections.
+func startLoad(seed uint64) *load {
+	GinkgoHelper()
+	s := startSite()
+	running, err := lab.Start(labConfig(seed), slog.New(slog.DiscardHandler), func(err error) {
+		defer GinkgoRecover()
+		Expect(err).NotTo(HaveOccurred())
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { Expect(running.Stop(context.Background())).To(Succeed()) })
+	l := &load{s, running}
+	l.awaitAnswers(5 * connections)
+	return l
+}
+
+func labConfig(seed uint64) lab.Config {
+	config := lab.Config{Fabric: lab.FabricConfig{
+		Listen: fabric, Seed: seed,
+		Between: lab.Link{Delay: 3 * time.Millisecond, Jitter: 500 * time.Microsecond},
+	}}
+	var announce []string
+	for d, domain := range domains {
+		for n := 1; n <= hostsPerDomain; n++ {
+			config.Fabric.EntryHosts = append(config.Fabric.EntryHosts, lab.EntryHost{
+				Name: fmt.Sprintf("entry-%s%d", domain, n), Domain: domain, Addr: entryAddress(d, n, packetPort),
+			})
+			announce = append(announce, fmt.Sprintf("http://%s/v1/announce", entryAddress(d, n, announcePort)))
+		}
+	}
+	for i, s := range services {
+		for n := range backendsPerService {
+			config.Backends = append(config.Backends, lab.BackendConfig{
+				Instance: fmt.Sprintf("%s-%d", s.name, n+1), Service: s.name, Domain: domains[n%len(domains)],
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 7, byte(i), byte(n + 1)}), 8080),
+				Slots:   2, QueueLimit: 64, Lease: 6 * time.Second, AnnounceURLs: announce, ProbeListen: "127.88.10.1:0",
+			})
+		}
+		config.Callers = append(config.Callers, lab.CallersConfig{
+			Name: "callers-" + s.name, Group: uint64(i + 1), Domain: "callers",
+			Addresses: []netip.Addr{netip.AddrFrom4([4]byte{10, 1, byte(i), 1}), netip.AddrFrom4([4]byte{10, 1, byte(i), 2})},
+			Service:   s.name, Target: s.target, Connections: connections, OpenAfter: 2 * time.Second, OpenPerSecond: 200,
+			RequestsPerConnection: s.perConnection, Pause: 100 * time.Millisecond, Work: 2 * time.Millisecond,
+			BodySize: 500, IdempotentShare: 0.5, Retries: 1, Seed: seed,
+		})
+	}
+	return config
+}
+
+func (l *load) results() *lab.Results {
+	GinkgoHelper()
+	r, err := l.Results()
+	Expect(err).NotTo(HaveOccurred())
+	return &r
+}
+
+// awaitAnswers waits for a number of further answers of every service.
+func (l *load) awaitAnswers(further uint64) {
+	GinkgoHelper()
+	before := l.results().Services
+	Eventually(func() bool {
+		for i, s := range l.results().Services {
+			if s.Answered < before[i].Answered+further {
+				return false
+			}
+		}
+		return true
+	}, never, poll).Should(BeTrue())
+}
+
+func (l *load) spray(entry *process, present bool) {
+	GinkgoHelper()
+	Expect(l.Do(lab.FabricAction{Fault: lab.RemoveEntryHost{Name: entry.name, Removed: !present}})).To(Succeed())
+}
+
+func (l *load) backend(verb, name string) {
+	GinkgoHelper()
+	Expect(l.Do(lab.BackendAction{Verb: verb, Name: name})).To(Succeed())
+}
+
+// noticed takes an entry host out of the spray after the time that the fabric
+// needs to notice that the host has gone.
+func (l *load) noticed(entry *process) {
+	GinkgoHelper()
+	time.Sleep(noticeTime)
+	l.spray(entry, false)
+}
+
+// restart starts an entry host and puts it into the spray once it is active.
+func (l *load) restart(entry *process) {
+	GinkgoHelper()
+	entry.start()
+	Eventually(entry.runningLog, never, poll).Should(ContainSubstring("following control host"))
+	time.Sleep(noticeTime) // the directory shows the earlier process until the new one has joined
+	l.awaitActive(entry.name)
+	l.spray(entry, true)
+}
+
+// finish ends the load and checks what holds in every row.
+func (l *load) finish() *lab.Results {
+	GinkgoHelper()
+	l.awaitAnswers(2 * connections)
+	Expect(l.Finish(context.Background())).To(Succeed())
+	r := l.results()
+	Expect(r.WriteTable(GinkgoWriter)).To(Succeed())
+	for _, p := range append(append([]*process(nil), l.controls...), l.entries...) {
+		if p.command != nil {
+			Expect(p.exited.Depth()).To(BeZero(), p.name+" has ended by itself")
+		}
+	}
+	Expect(r.Violations()).To(BeEmpty())
+	for _, s := range r.Services {
+		Expect(s.Broken).To(BeZero(), "broken connections of "+s.Service)
+		Expect(s.Doubled).To(BeZero(), "doubled requests of "+s.Service)
+		Expect(s.Misrouted+s.ForeignRan).To(BeZero(), "misrouted messages of "+s.Service)
+		Expect(s.Lost).To(BeZero(), "lost requests of "+s.Service)
+		Expect(s.LateFlows).To(BeZero(), "late flows of "+s.Service)
+	}
+	return r
+}
