Log the end of a control host's rejoining

A control host that lost its data folder gave no sign of the moment from which it votes again, so neither an operator nor a test could tell when another control host may be stopped. The log duty now logs the change.

--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -113,6 +113,9 @@
 	status := d.node.Status()
 	last := d.status
 	d.status = status
+	if last.Rejoining && !status.Rejoining {
+		d.log.Info("rejoined the log as a voter", "index", status.Commit)
+	}
 	if status.Role == last.Role && status.Leader == last.Leader && status.Term == last.Term &&
 		status.LastContact == last.LastContact {
 		return nil
