Keep the link to a host that leaves before it was heard

A restarted entry host kept links to hosts outside the directory only while it heard them. A neighbour that stopped before its first hello arrived lost its link for good, so its batches of records were never confirmed and its stop ran into the limit with exit code 1.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -105,6 +105,7 @@
 	incarnation uint64
 	at          time.Duration
 	up          bool
+	awaited     bool // not heard yet, but it left the directory at this time
 }
 
 func (d *engineDuty) handle(e engineEvent) error {
@@ -181,17 +182,23 @@
 func (d *engineDuty) tableChanged(now time.Duration) {
 	d.flow.SetTable(now, flow.TableOf(d.state))
 	d.names.update(d.state)
-	d.updatePeers()
+	d.updatePeers(now)
 	d.probes.Offer(d.probeTargets())
 }
 
 // updatePeers keeps links to the hosts that the directory lists, and to those that it no
 // longer lists while they are heard: a stopping host leaves the directory first
-// and then hands its records over.
-func (d *engineDuty) updatePeers() {
+// and then hands its records over. One that this host has not heard yet, because
+// its own process has just started, gets the time of a peer that falls silent.
+func (d *engineDuty) updatePeers(now time.Duration) {
 	current := map[string]directory.Host{}
 	for name, h := range d.peerHosts {
-		if d.heard[name].up {
+		peer := d.heard[name]
+		if _, listed := d.state.Host(name); !listed && !peer.up && peer.incarnation != h.Incarnation {
+			peer = heardPeer{incarnation: h.Incarnation, at: now, awaited: true}
+			d.heard[name] = peer
+		}
+		if peer.up || peer.awaited {
 			current[name] = h
 		}
 	}
@@ -221,12 +228,12 @@
 func (d *engineDuty) tick(now time.Duration) {
 	d.flow.Tick(now)
 	for host, peer := range d.heard {
-		if peer.up && now-peer.at > peerTimeout {
-			peer.up = false
+		if (peer.up || peer.awaited) && now-peer.at > peerTimeout {
+			peer.up, peer.awaited = false, false
 			d.heard[host] = peer
 			d.log.Warn("peer lost", "peer", host)
 			d.flow.PeerDown(now, host)
-			d.updatePeers()
+			d.updatePeers(now)
 		}
 	}
 	if now-d.lastHello >= helloInterval {
