--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -18,21 +18,14 @@
 // replaced the stopped host as holder when it goes on.
 const stoppedTime = 5 * time.Second
 
-// knownRed is the seed of the row in KNOWN-RED.txt: a host that stops soon after
-// its neighbour in the failure domain has restarted does not end its handover.
-const knownRed = 1
-
 var _ = DescribeTable("faults of processes under load",
 	func(seed uint64, fault func(l *load)) {
-		if seed == knownRed && os.Getenv("KNOWN_RED") != "1" {
-			Skip("known red, see KNOWN-RED.txt; KNOWN_RED=1 runs it")
-		}
 		l := startLoad(seed)
 		fault(l)
 		l.finish()
 	},
-	// Guards against records that are not handed over before a planned stop, and
-	// a stop that is not graceful.
+	// Guards against records that are not handed over before a planned stop, and a
+	// stop that waits for a new holder that has no link to the stopping host.
 	Entry("planned stop and restart of each entry host in turn", uint64(1), func(l *load) {
 		for _, e := range l.entries {
 			l.replace(e, nil)
