--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,179 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/lab"
+	"cassiawood/internal/operator"
+)
+
+// stoppedTime is longer than a host lease (2 s), so that the others have
+// replaced the stopped host as holder when it goes on.
+const stoppedTime = 5 * time.Second
+
+var _ = DescribeTable("faults of processes under load",
+	func(seed uint64, fault func(l *load)) {
+		l := startLoad(seed)
+		fault(l)
+		l.finish()
+	},
+	// Guards against records that are not handed over before a planned stop, and a
+	// stop that waits for a new holder that has no link to the stopping host.
+	Entry("planned stop and restart of each entry host in turn", uint64(1), func(l *load) {
+		for _, e := range l.entries {
+			l.replace(e, nil)
+		}
+	}),
+	// Guards against records that exist on one host only, and flows that another
+	// host guesses after a holder has died.
+	Entry("kill of an entry host", uint64(2), func(l *load) {
+		e := l.entries[2]
+		e.kill()
+		l.noticed(e)
+		l.awaitAnswers(5 * connections)
+		l.restart(e)
+	}),
+	// Guards against a host that goes on with an old table and old records after
+	// the others have replaced it.
+	Entry("an entry host that stands still and goes on", uint64(3), func(l *load) {
+		e := l.entries[3]
+		e.signal(syscall.SIGSTOP)
+		l.noticed(e)
+		time.Sleep(stoppedTime - noticeTime)
+		e.signal(syscall.SIGCONT)
+		l.spray(e, true)
+		l.awaitActive(e.name)
+	}),
+	// Guards against a change that a new leader forgets or carries out twice, and
+	// traffic that needs a leader.
+	Entry("kill of the control leader while a section is saved", uint64(4), killLeader),
+	// Guards against a control host that votes without its log, and a log that is
+	// lost with the second host.
+	Entry("loss of a control host's data folder and then of another control host", uint64(5), loseData),
+	// Guards against a drain that an entry host with a new table does not know, and
+	// new work for a backend server that is leaving.
+	Entry("drain and removal of backend servers while an entry host restarts", uint64(6), func(l *load) {
+		leaving := []string{"order-desk-2", "sheet-print-3"}
+		l.replace(l.entries[0], func() { l.backend("drain", leaving...) })
+		l.awaitAnswers(10 * connections) // callers of sheet-print open connections all the time
+		l.leaving = true
+		l.replace(l.entries[3], func() { l.backend("leave", leaving...) })
+		for _, name := range leaving {
+			l.awaitGone(name)
+		}
+	}),
+	// Guards against records on the other side of a cut, and flows that are placed
+	// on both sides.
+	Entry("cut between a failure domain and the others", uint64(7), func(l *load) {
+		l.cut("c", true)
+		time.Sleep(stoppedTime)
+		l.cut("c", false)
+	}),
+)
+
+// cut cuts a failure domain off from the others in the fabric, or joins it again.
+func (l *load) cut(domain string, cut bool) {
+	GinkgoHelper()
+	for _, other := range domains {
+		if other != domain {
+			Expect(l.Do(lab.FabricAction{Fault: lab.CutLink{A: domain, B: other, Cut: cut}})).To(Succeed())
+		}
+	}
+}
+
+// killLeader kills the leader at different moments of a save, which takes some
+// 200 ms. Whatever the client is told at first, the change sent again must get one
+// answer for good.
+func killLeader(l *load) {
+	const team, section = "shop", "Orders"
+	type outcome struct {
+		answer operator.Answer
+		err    error
+	}
+	for version, delay := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
+		change := l.change(fmt.Sprintf("during-kill-%s", delay), team, section, uint64(version+1), strings.Repeat("\n", version+1))
+		leader := l.controls[l.leader()]
+		saved := make(chan outcome, 1)
+		go func() {
+			answer, err := l.save(team, change)
+			saved <- outcome{answer, err}
+		}()
+		time.Sleep(delay)
+		answered := len(saved) > 0
+		leader.kill()
+		l.awaitAnswers(2 * connections)
+		first := <-saved
+		fmt.Fprintf(GinkgoWriter, "killed after %s, answered before the kill: %t, version %d, error: %v\n",
+			delay, answered, first.answer.Version, first.err)
+		again, err := l.save(team, change)
+		Expect(err).NotTo(HaveOccurred())
+		if first.err == nil {
+			Expect(again).To(Equal(first.answer))
+		}
+		leader.start()
+		l.awaitVersion(leader, team, section, again.Version)
+		last, err := l.save(team, change)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last).To(Equal(again))
+		Expect(again.Version).To(BeEquivalentTo(version + 2))
+		Expect(l.version(team, section)).To(Equal(again.Version))
+	}
+}
+
+func (l *load) version(team, section string) uint64 {
+	GinkgoHelper()
+	s, err := l.client(team).Section(GinkgoT().Context(), section, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return s.Version
+}
+
+// loseData deletes the data folder of a control host, lets the host rejoin, and
+// stops another control host for good.
+func loseData(l *load) {
+	const team, section = "shop", "Orders"
+	before := l.change("before-loss", team, section, 1, "\n")
+	accepted, err := l.save(team, before)
+	Expect(err).NotTo(HaveOccurred())
+	lost, id := l.controls[0], 1
+	lost.signal(syscall.SIGTERM)
+	Expect(lost.awaitExit()).To(BeZero(), lost.name)
+	Expect(os.RemoveAll(l.dataFolder(id))).To(Succeed())
+	rejoining := l.controlSettings(id)
+	rejoining.Rejoining = true
+	l.writeSettings(lost, rejoining)
+	lost.start()
+	Eventually(lost.runningLog, never, poll).Should(ContainSubstring("rejoined the log as a voter"))
+	l.awaitVersion(lost, team, section, accepted.Version)
+	l.controls[1].kill()
+	Eventually(func() (operator.Answer, error) { return l.save(team, before) }, never, poll).Should(Equal(accepted))
+	Expect(l.version(team, section)).To(Equal(accepted.Version))
+	_, err = l.save(team, l.change("after-loss", team, section, accepted.Version, ""))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(l.version(team, section)).To(Equal(accepted.Version + 1))
+}
+
+// awaitVersion waits until a control host itself shows a version of a section.
+func (l *load) awaitVersion(host *process, team, section string, version uint64) {
+	GinkgoHelper()
+	options := l.teams[team]
+	for i, c := range l.controls {
+		if c == host {
+			options.Hosts = options.Hosts[i : i+1]
+		}
+	}
+	client := operator.NewClient(options)
+	Eventually(func() uint64 {
+		s, err := client.Section(GinkgoT().Context(), section, 0)
+		if err != nil {
+			return 0
+		}
+		return s.Version
+	}, never, poll).Should(Equal(version))
+}
