--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -21,57 +21,6 @@
 	peerTimeout   = 2 * time.Second
 )
 
-// engineEvent is a value in the inbox of the engine duty.
-type engineEvent interface{ isEngineEvent() }
-
-type (
-	enginePackets struct{ batch *batch }
-	engineTick    struct{ now time.Duration }
-	engineEntries struct {
-		entries   []directory.Entry
-		contact   time.Duration // when this host sent what a leader answered; 0 for no contact
-		committed uint64        // index up to which the sender's log is committed
-	}
-	engineSnapshot  struct{ state *directory.State }
-	enginePeerHello struct {
-		host, domain     string
-		incarnation      uint64
-		fenced, stopping bool
-	}
-	enginePeerMessage struct {
-		from    string
-		message flow.Message
-	}
-	engineProbe struct {
-		instance string
-		accepts  bool
-	}
-	// engineLoad is what a load endpoint said.
-	engineLoad struct {
-		instance string
-		inFlight int
-		at       time.Duration
-	}
-	// engineDirectory asks for a copy of the directory.
-	engineDirectory struct {
-		result *ring.Ring[directory.Snapshot]
-	}
-	engineStop   struct{}
-	engineStatus struct{ result *ring.Ring[Status] }
-)
-
-func (enginePackets) isEngineEvent()     {}
-func (engineTick) isEngineEvent()        {}
-func (engineEntries) isEngineEvent()     {}
-func (engineSnapshot) isEngineEvent()    {}
-func (enginePeerHello) isEngineEvent()   {}
-func (enginePeerMessage) isEngineEvent() {}
-func (engineProbe) isEngineEvent()       {}
-func (engineLoad) isEngineEvent()        {}
-func (engineDirectory) isEngineEvent()   {}
-func (engineStop) isEngineEvent()        {}
-func (engineStatus) isEngineEvent()      {}
-
 // Status is a view of the entry host for telemetry and the stop.
 type Status struct {
 	Index            uint64
@@ -112,13 +61,6 @@
 	status      Status
 }
 
-type heardPeer struct {
-	incarnation uint64
-	at          time.Duration
-	up          bool
-	awaited     bool // not heard yet, but it left the directory at this time
-}
-
 func (d *engineDuty) handle(e engineEvent) error {
 	now := d.clock()
 	d.balancer.advance(now)
@@ -261,34 +203,6 @@
 	}
 }
 
-// updatePeers keeps links to the hosts that the directory lists, and to those that it no
-// longer lists while they are heard: a stopping host leaves the directory first
-// and then hands its records over. One that this host has not heard yet, because
-// its own process has just started, gets the time of a peer that falls silent.
-func (d *engineDuty) updatePeers(now time.Duration) {
-	current := map[string]directory.Host{}
-	for name, h := range d.peerHosts {
-		peer := d.heard[name]
-		if _, listed := d.state.Host(name); !listed && !peer.up && peer.incarnation != h.Incarnation {
-			peer = heardPeer{incarnation: h.Incarnation, at: now, awaited: true}
-			d.heard[name] = peer
-		}
-		if peer.up || peer.awaited {
-			current[name] = h
-		}
-	}
-	for _, h := range d.state.Hosts() {
-		current[h.Name] = h
-	}
-	delete(current, d.self.GetName())
-	d.peerHosts = current
-	targets := []peerTarget{}
-	for _, h := range current {
-		targets = append(targets, peerTarget{h.Name, h.Incarnation, h.PeerAddr.String()})
-	}
-	d.peers.Offer(peerCommand{targets: targets})
-}
-
 func (d *engineDuty) probeTargets() []probeTarget {
 	targets := []probeTarget{}
 	for _, id := range d.state.Endpoints() {
@@ -317,20 +231,6 @@
 	}
 }
 
-func (d *engineDuty) sayHello() {
-	hello := &wirepb.Envelope{Body: &wirepb.Envelope_PeerHello{PeerHello: &wirepb.PeerHello{
-		Host: d.self.GetName(), Domain: d.self.GetDomain(), Incarnation: d.self.GetIncarnation(),
-		Applied: d.state.Index(), Fenced: d.flow.Fenced(), Stopping: d.stopping,
-	}}}
-	for name := range d.peerHosts {
-		d.peers.Offer(peerCommand{to: name, message: hello})
-	}
-	d.tellControl()
-	if self, ok := d.listed(); ok && self.State == directory.HostJoined && !d.stopping {
-		d.control.Offer(controlComplete{})
-	}
-}
-
 func (d *engineDuty) tellControl() {
 	_, listed := d.listed()
 	d.control.Offer(controlApplied{applied: d.state.Index(), acknowledge: d.acknowledge, listed: listed})
@@ -342,31 +242,6 @@
 	return self, ok && self.Incarnation == d.self.GetIncarnation()
 }
 
-func (d *engineDuty) hello(now time.Duration, e enginePeerHello) {
-	known, ok := d.heard[e.host]
-	if !ok || !known.up || known.incarnation != e.incarnation {
-		d.log.Info("peer up", "peer", e.host, "incarnation", e.incarnation)
-		d.flow.PeerUp(now, e.host, e.incarnation, e.domain)
-	}
-	d.heard[e.host] = heardPeer{incarnation: e.incarnation, at: now, up: true}
-	d.flow.PeerFenced(now, e.host, e.fenced)
-}
-
-func (d *engineDuty) peerMessage(now time.Duration, from string, m flow.Message) {
-	switch {
-	case m.Batch != nil:
-		d.flow.Records(now, from, m.Batch)
-	case m.Ack != nil:
-		d.flow.RecordAck(now, from, *m.Ack)
-	case m.Suspects != nil:
-		d.flow.Suspects(now, from, m.Suspects)
-	case m.Done != nil:
-		d.flow.HandoverDone(now, *m.Done)
-	default:
-		d.flow.Hint(now, from, m.Hints)
-	}
-}
-
 // drain carries out what the flow engine wants done.
 func (d *engineDuty) drain() {
 	effects := d.flow.Ready()
--- /dev/null
+++ b/internal/entry/engine_events.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"time"
+
+	"cassiawood/internal/directory"
+	"cassiawood/internal/flow"
+	"cassiawood/internal/ring"
+)
+
+// engineEvent is a value in the inbox of the engine duty.
+type engineEvent interface{ isEngineEvent() }
+
+type (
+	enginePackets struct{ batch *batch }
+	engineTick    struct{ now time.Duration }
+	engineEntries struct {
+		entries   []directory.Entry
+		contact   time.Duration // when this host sent what a leader answered; 0 for no contact
+		committed uint64        // index up to which the sender's log is committed
+	}
+	engineSnapshot  struct{ state *directory.State }
+	enginePeerHello struct {
+		host, domain     string
+		incarnation      uint64
+		fenced, stopping bool
+	}
+	enginePeerMessage struct {
+		from    string
+		message flow.Message
+	}
+	engineProbe struct {
+		instance string
+		accepts  bool
+	}
+	// engineLoad is what a load endpoint said.
+	engineLoad struct {
+		instance string
+		inFlight int
+		at       time.Duration
+	}
+	// engineDirectory asks for a copy of the directory.
+	engineDirectory struct {
+		result *ring.Ring[directory.Snapshot]
+	}
+	engineStop   struct{}
+	engineStatus struct{ result *ring.Ring[Status] }
+)
+
+func (enginePackets) isEngineEvent()     {}
+func (engineTick) isEngineEvent()        {}
+func (engineEntries) isEngineEvent()     {}
+func (engineSnapshot) isEngineEvent()    {}
+func (enginePeerHello) isEngineEvent()   {}
+func (enginePeerMessage) isEngineEvent() {}
+func (engineProbe) isEngineEvent()       {}
+func (engineLoad) isEngineEvent()        {}
+func (engineDirectory) isEngineEvent()   {}
+func (engineStop) isEngineEvent()        {}
+func (engineStatus) isEngineEvent()      {}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -125,12 +125,14 @@
 	h.group = duty.NewGroup(log, handlerLimit, clock, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	placing := newBalancer(self.GetName(), self.GetIncarnation())
 	engine := &engineDuty{
-		log: log, self: self, state: directory.New(), fabric: s.FabricAddress, out: r.out, control: r.control,
-		peers: r.peers, probes: r.probes, counters: newCounters(registry), clock: clock, drained: func() { _ = shutdown.Shutdown(fx.ExitCode(0)) }, heard: map[string]heardPeer{}, reported: map[string]bool{}, balancer: placing,
+		log: log, self: self, state: directory.New(), fabric: s.FabricAddress,
+		out: r.out, control: r.control, peers: r.peers, probes: r.probes,
+		counters: newCounters(registry), clock: clock, balancer: placing,
+		drained: func() { _ = shutdown.Shutdown(fx.ExitCode(0)) },
+		heard:   map[string]heardPeer{}, reported: map[string]bool{},
 		flow: flow.New(flow.Config{
 			Host: self.GetName(), Incarnation: self.GetIncarnation(), Domain: self.GetDomain(),
-			Seed: self.GetIncarnation(), Capacity: s.MaxFlows,
-			Choose: placing.choose, Closed: placing.closed,
+			Seed: self.GetIncarnation(), Capacity: s.MaxFlows, Choose: placing.choose, Closed: placing.closed,
 		}),
 	}
 	h.addDuties(engine, config, clock)
