Restart a host and drain a backend server in the demo

Cause: the demo ran no planned change, and both services had the same long connections; malformed packets were counted in one figure. Change: one drain and one restart, requests per connection by service; malformed packets are counted by reason.

--- a/cmd/cassiawood-lab/options.go
+++ b/cmd/cassiawood-lab/options.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,8 +31,9 @@
 
 // demoService is one -service flag.
 type demoService struct {
-	name   string
-	target netip.AddrPort
+	name          string
+	target        netip.AddrPort
+	perConnection int // 0 leaves it to -requests-per-connection
 }
 
 // demoFlags are the flags before they are combined.
@@ -73,10 +75,10 @@
 		f.entries = append(f.entries, e)
 		return err
 	})
-	set.Func("service", "service `NAME,ADDRESS:PORT`; repeat for each", func(text string) error {
-		name, address, _ := strings.Cut(text, ",")
-		target, err := netip.ParseAddrPort(address)
-		f.services = append(f.services, demoService{name, target})
+	set.Func("service", "service `NAME,ADDRESS:PORT[,REQUESTS]`, with the requests after which its connections are "+
+		"opened anew; repeat for each", func(text string) error {
+		s, err := parseService(text)
+		f.services = append(f.services, s)
 		return err
 	})
 	set.Func("proxy", "`LISTEN:PORT,TARGET:PORT,DOMAIN`: forwards TCP connections to a process with the links of its failure domain; repeat for each", func(text string) error {
@@ -100,6 +102,20 @@
 	})
 }
 
+func parseService(text string) (demoService, error) {
+	fields := strings.Split(text, ",")
+	if len(fields) != 2 && len(fields) != 3 {
+		return demoService{}, errors.New("want NAME,ADDRESS:PORT[,REQUESTS]")
+	}
+	s := demoService{name: fields[0]}
+	var err error
+	if s.target, err = netip.ParseAddrPort(fields[1]); err != nil || len(fields) == 2 {
+		return s, err
+	}
+	s.perConnection, err = strconv.Atoi(fields[2])
+	return s, err
+}
+
 func parseEntryHost(text string) (lab.EntryHost, error) {
 	fields := strings.Split(text, ",")
 	if len(fields) != 3 && len(fields) != 4 {
@@ -199,10 +215,14 @@
 	for n := range addresses {
 		addresses[n] = netip.AddrFrom4([4]byte{10, 1, byte(i), byte(n + 1)})
 	}
+	perConnection := f.perConnection
+	if s.perConnection > 0 {
+		perConnection = s.perConnection
+	}
 	return lab.CallersConfig{
 		Name: "callers-" + s.name, Group: uint64(i + 1), Domain: "callers", Addresses: addresses,
 		Service: s.name, Target: s.target, Connections: f.connections, OpenAfter: f.after, OpenPerSecond: f.openRate,
-		RequestsPerConnection: f.perConnection, Pause: f.pause, Work: f.work, BodySize: f.body,
+		RequestsPerConnection: perConnection, Pause: f.pause, Work: f.work, BodySize: f.body,
 		IdempotentShare: f.idempotent, Retries: 1, RequestTimeout: f.requestTimeout, Seed: f.seed,
 	}
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -1,23 +1,30 @@
 package entry
 
 import (
+	"errors"
+	"strings"
+
 	"github.com/rcrowley/go-metrics"
 
 	"cassiawood/internal/flow"
+	"cassiawood/internal/packet"
 )
 
 // counters count packets by what was decided. Only the engine duty adds to them.
 type counters struct {
-	malformed metrics.Counter
-	silent    metrics.Counter // flows ended because their backend server lost track of them
+	malformed [packet.ErrorCount]metrics.Counter // by packet.Error
+	silent    metrics.Counter                    // flows ended because their backend server lost track of them
 	actions   [flow.Reset + 1]metrics.Counter
 	reasons   [flow.ReasonCount]metrics.Counter
 }
 
 func newCounters(registry metrics.Registry) *counters {
 	c := &counters{
-		malformed: metrics.NewRegisteredCounter("packets.malformed", registry),
-		silent:    metrics.NewRegisteredCounter("flows.silent-ended", registry),
+		silent: metrics.NewRegisteredCounter("flows.silent-ended", registry),
+	}
+	for i := 1; i < packet.ErrorCount; i++ {
+		name := strings.ReplaceAll(packet.Error(i).Error(), " ", "-")
+		c.malformed[i] = metrics.NewRegisteredCounter("packets.malformed."+name, registry)
 	}
 	for i, name := range [...]string{"dropped", "to-backend", "to-caller", "handed-off", "reset"} {
 		c.actions[i] = metrics.NewRegisteredCounter("packets."+name, registry)
@@ -28,6 +35,13 @@
 	return c
 }
 
+// refuse counts a packet that the codec refused, by its reason.
+func (c *counters) refuse(err error) {
+	reason := packet.ErrHandoff
+	errors.As(err, &reason)
+	c.malformed[reason].Inc(1)
+}
+
 func (c *counters) count(v *flow.Verdict) {
 	c.actions[v.Action].Inc(1)
 	if v.Reason != flow.NoReason {
--- a/internal/entry/engine_test.go
+++ b/internal/entry/engine_test.go
@@ -138,6 +138,16 @@
 		Expect(r.duty.counters.reasons[flow.ReasonWrongEndpoint].Count()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against malformed packets that are dropped without a trace.
+	It("counts malformed packets by reason", func() {
+		r.site()
+		b := newBatch()
+		b.slots[0].start, b.slots[0].end, b.n = headroom, headroom+3, 1
+		Expect(r.duty.handle(enginePackets{batch: b})).To(Succeed())
+		Expect(r.duty.counters.malformed[packet.ErrTruncated].Count()).To(BeEquivalentTo(1))
+		Expect(b.slots[0].to.IsValid()).To(BeFalse())
+	})
+
 	// Guards against a table with a missing entry after a control host dropped a batch.
 	It("asks to be served anew when an entry is missing", func() {
 		r.site()
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -48,7 +48,7 @@
 		err = packet.Parse(g.Inner, &h)
 	}
 	if err != nil {
-		d.counters.malformed.Inc(1)
+		d.counters.refuse(err)
 		return
 	}
 	s.start = s.end - len(g.Inner)
@@ -57,7 +57,7 @@
 		Protocol: uint8(h.Protocol), Flags: uint8(h.Flags), Sequence: h.Seq, Ack: h.Ack, PayloadLen: h.PayloadLen,
 	}
 	if g.Handoff != nil && !d.readHandoff(g.Handoff, &p.Handoff) {
-		d.counters.malformed.Inc(1)
+		d.counters.refuse(packet.ErrHandoff)
 		return
 	}
 	d.setDirection(&p, &h)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,6 +31,18 @@
   echo "$!" >"$logs/$2.pid"
 }
 
+# restart stops an entry host as planned and starts it again.
+restart() { # name
+  local pid code=0
+  pid=$(cat "$logs/$1.pid")
+  kill "$pid"
+  wait "$pid" || code=$?
+  echo "planned stop of $1: exit code $code"
+  mv "$logs/$1.log" "$logs/$1-first.log"
+  start cassiawood-entry "$1"
+  hosts+=("$started")
+}
+
 for host in control-1 control-2 control-3; do
   start cassiawood-control "$host"
   controls+=("$started")
@@ -58,4 +70,13 @@
   cat "$logs/save-$team.log"
 done
 
-bin/cassiawood-lab demo "${entries[@]}" -service order-desk,10.20.0.1:443 -service sheet-print,10.20.0.2:443 "$@"
+# order-desk has long connections, sheet-print a new one for each 3 requests. One
+# backend server drains and one entry host restarts meanwhile.
+bin/cassiawood-lab demo "${entries[@]}" -service order-desk,10.20.0.1:443 -service sheet-print,10.20.0.2:443,3 \
+  -at "8s drain order-desk-1" "$@" &
+lab=$!
+sleep 12
+restart entry-b1
+code=0
+wait "$lab" || code=$?
+exit "$code"
