Name recently begun flows by what they are

Cause: 'embryo' needs explaining to a newcomer. Change: recent flows, in recent.go; no change of behaviour. Result: tests of internal/flow pass.

--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -183,5 +183,5 @@
 func (e *Engine) RecordAck(now time.Duration, from string, ack RecordAck) {
 	e.setNow(now)
 	e.confirmHandover(from, ack.ID)
-	e.confirmEmbryos(from, ack.ID)
+	e.confirmRecentFlows(from, ack.ID)
 }
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -71,7 +71,7 @@
 	alive       map[directory.EndpointID]heard
 	stopping    bool
 	handover    handover
-	embryos     embryos
+	recentFlows recentFlows
 	silent      silence
 	nextBatch   uint64
 	out         Effects
@@ -133,7 +133,7 @@
 	}
 	e.rescanHoldings()
 	e.noteHandover()
-	e.pushEmbryos()
+	e.pushRecentFlows()
 	e.acknowledge()
 	e.requestCopies()
 }
@@ -154,7 +154,7 @@
 	}
 	e.epoch++
 	e.dropSource(host)
-	e.dropEmbryoTarget(host)
+	e.dropRecentTarget(host)
 	e.noteHandover()
 }
 
@@ -171,7 +171,7 @@
 	e.setNow(now)
 	e.sweep(sweepPerTick)
 	e.requestCopies()
-	e.tickEmbryos()
+	e.tickRecentFlows()
 	e.tickSilence()
 	e.tickHandover()
 }
--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -122,7 +122,7 @@
 	case !known && !atStart:
 		h.first, h.second = first, second
 		h.whole = h.has(e.cfg.Host)
-		e.embryos.begin(key)
+		e.recentFlows.begin(key)
 	case !known:
 		e.startHolding(h, first, second)
 	case first != h.first || second != h.second:
--- a/internal/flow/observe.go
+++ b/internal/flow/observe.go
@@ -38,7 +38,7 @@
 			en.sequence = q.p.Sequence
 		}
 		en.flags |= flagSYN
-		e.embryos.note(en, e.clock)
+		e.recentFlows.note(en, e.clock)
 	}
 	if !q.isFirst() {
 		en.flags |= flagBegun
--- a/internal/flow/embryo.go
+++ b/internal/flow/recent.go
@@ -8,35 +8,35 @@
 )
 
 const (
-	// embryoLife covers the repetitions of a first packet after 1, 3, 7 and 15 s (RFC 6298).
+	// recentLife covers the repetitions of a first packet after 1, 3, 7 and 15 s (RFC 6298).
 	// With 3.5 s a flow that lost two repetitions was placed on a second endpoint. A flow
 	// whose first packet is repeated later than this, across a committed move, may be placed anew.
-	embryoLife = 15500 * time.Millisecond
-	// embryoLimit bounds the memory to 2 MB; 4,200 new flows per second fit embryoLife.
-	embryoLimit = 1 << 16
-	// embryoRetry is the time between repetitions of an unconfirmed batch.
-	embryoRetry = 200 * time.Millisecond
+	recentLife = 15500 * time.Millisecond
+	// recentLimit bounds the memory to 2 MB; 4,200 new flows per second fit recentLife.
+	recentLimit = 1 << 16
+	// recentRetry is the time between repetitions of an unconfirmed batch.
+	recentRetry = 200 * time.Millisecond
 )
 
-// embryo is a flow whose first packet this host forwarded without a record.
-type embryo struct {
+// recentFlow is a flow whose first packet this host forwarded without a record.
+type recentFlow struct {
 	key      flowKey
 	endpoint directory.EndpointID
 	sequence uint32
 	at       stamp
 }
 
-// embryos remembers the flows that began without a record shortly before their bucket
+// recentFlows remembers the flows that began without a record shortly before their bucket
 // is prepared for a move. Their first packet may be repeated after the move
 // is committed and must then find a record.
-type embryos struct {
-	ring    []embryo
+type recentFlows struct {
+	ring    []recentFlow
 	next    int
 	tracked map[holdingKey]struct{} // newly prepared holdings of the present update
 	open    map[uint64]*openBatch
 }
 
-// openBatch is a batch of embryos that a holder has not confirmed.
+// openBatch is a batch of recentFlows that a holder has not confirmed.
 type openBatch struct {
 	to    string
 	index uint64
@@ -44,52 +44,52 @@
 	batch *RecordBatch
 }
 
-func (em *embryos) note(en *entry, now stamp) {
+func (em *recentFlows) note(en *entry, now stamp) {
 	if en.kind != entryObserved {
 		return
 	}
-	em.add(embryo{key: en.key, endpoint: en.endpoint, sequence: en.sequence, at: now})
+	em.add(recentFlow{key: en.key, endpoint: en.endpoint, sequence: en.sequence, at: now})
 }
 
-func (em *embryos) add(one embryo) {
-	if len(em.ring) < embryoLimit {
+func (em *recentFlows) add(one recentFlow) {
+	if len(em.ring) < recentLimit {
 		em.ring = append(em.ring, one)
 		return
 	}
 	em.ring[em.next] = one
-	em.next = (em.next + 1) % embryoLimit
+	em.next = (em.next + 1) % recentLimit
 }
 
 // begin notes that a bucket without records is now prepared to move.
-func (em *embryos) begin(key holdingKey) {
+func (em *recentFlows) begin(key holdingKey) {
 	if em.tracked == nil {
 		em.tracked = map[holdingKey]struct{}{}
 	}
 	em.tracked[key] = struct{}{}
 }
 
-// pushEmbryos gives the holders of newly prepared buckets the records of the flows that
+// pushRecentFlows gives the holders of newly prepared buckets the records of the flows that
 // began just before. The index is acknowledged once they confirm.
-func (e *Engine) pushEmbryos() {
-	em := &e.embryos
+func (e *Engine) pushRecentFlows() {
+	em := &e.recentFlows
 	if len(em.tracked) == 0 {
 		return
 	}
 	records := map[string][]Record{}
 	for i := range em.ring {
 		one := &em.ring[i]
-		if e.clock.since(one.at) > embryoLife {
+		if e.clock.since(one.at) > recentLife {
 			continue
 		}
-		e.addressEmbryo(one, records)
+		e.addressRecent(one, records)
 	}
 	clear(em.tracked)
 	e.push(records)
 }
 
-// addressEmbryo adds the record of an embryo for both holders, or stores it if this
+// addressRecent adds the record of an recentFlow for both holders, or stores it if this
 // host is one of them.
-func (e *Engine) addressEmbryo(one *embryo, records map[string][]Record) {
+func (e *Engine) addressRecent(one *recentFlow, records map[string][]Record) {
 	svc, ok := e.table.Service(one.key.service(), one.key[12])
 	if !ok {
 		return
@@ -105,7 +105,7 @@
 	}
 	home, ok := e.endpointDomain(b.Next)
 	key := holdingKey{svc.Name, uint32(number), home}
-	if _, tracked := e.embryos.tracked[key]; !ok || !tracked {
+	if _, tracked := e.recentFlows.tracked[key]; !ok || !tracked {
 		return
 	}
 	r := Record{
@@ -133,7 +133,7 @@
 // push sends records that their holders have not asked for. The table is acknowledged
 // once they confirm.
 func (e *Engine) push(records map[string][]Record) {
-	em := &e.embryos
+	em := &e.recentFlows
 	for to, all := range records {
 		for part := range slices.Chunk(all, batchRecords) {
 			b := e.newBatch()
@@ -147,24 +147,24 @@
 	}
 }
 
-// acknowledge sets the index up to which all embryos are confirmed.
+// acknowledge sets the index up to which all recentFlows are confirmed.
 func (e *Engine) acknowledge() {
 	if e.table == nil {
 		return
 	}
 	index := e.table.Index()
-	for _, o := range e.embryos.open {
+	for _, o := range e.recentFlows.open {
 		index = min(index, o.index-1)
 	}
 	e.out.Acknowledge = max(e.out.Acknowledge, index)
 }
 
-func (e *Engine) tickEmbryos() {
-	for id, o := range e.embryos.open {
+func (e *Engine) tickRecentFlows() {
+	for id, o := range e.recentFlows.open {
 		switch {
 		case !e.isSource(o.to):
-			delete(e.embryos.open, id)
-		case e.now-o.sent >= embryoRetry:
+			delete(e.recentFlows.open, id)
+		case e.now-o.sent >= recentRetry:
 			o.sent = e.now
 			e.send(Message{To: o.to, Batch: o.batch})
 		}
@@ -172,18 +172,18 @@
 	e.acknowledge()
 }
 
-func (e *Engine) dropEmbryoTarget(host string) {
-	for id, o := range e.embryos.open {
+func (e *Engine) dropRecentTarget(host string) {
+	for id, o := range e.recentFlows.open {
 		if o.to == host && !e.isSource(host) {
-			delete(e.embryos.open, id)
+			delete(e.recentFlows.open, id)
 		}
 	}
 	e.acknowledge()
 }
 
-func (e *Engine) confirmEmbryos(from string, id uint64) {
-	if o := e.embryos.open[id]; o != nil && o.to == from {
-		delete(e.embryos.open, id)
+func (e *Engine) confirmRecentFlows(from string, id uint64) {
+	if o := e.recentFlows.open[id]; o != nil && o.to == from {
+		delete(e.recentFlows.open, id)
 		e.acknowledge()
 	}
 }
