--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -199,9 +200,24 @@
 	return "absent"
 }
 
+// ended returns the name of a process that ended although nobody stopped it, or "".
+func (s *site) ended() string {
+	for _, p := range slices.Concat(s.controls, s.entries) {
+		if p.command != nil && p.exited.Depth() > 0 {
+			return p.name
+		}
+	}
+	return ""
+}
+
 func (s *site) awaitActive(name string) {
 	GinkgoHelper()
-	Eventually(func() string { return s.hostState(name) }, never, poll).Should(Equal("active"), name)
+	Eventually(func() (string, error) {
+		if ended := s.ended(); ended != "" {
+			return "", StopTrying(ended + " ended by itself; are the addresses in use by another run?")
+		}
+		return s.hostState(name), nil
+	}, never, poll).Should(Equal("active"), name)
 }
 
 // leader returns the control host that leads.
