--- a/cmd/cassiawood/keys_test.go
+++ b/cmd/cassiawood/keys_test.go
@@ -47,7 +47,7 @@
 		Address: "127.0.0.1:0", Certificate: certificate, Guard: operator.NewGuard(tokens, time.Now), Backend: backend, Log: log,
 	})
 	Expect(err).NotTo(HaveOccurred())
-	group := duty.NewGroup(log, time.Hour, func() time.Duration { return 0 }, func(error) {})
+	group := duty.NewGroup(log, time.Hour, func(error) {})
 	for _, d := range server.Duties() {
 		group.Add(d)
 	}
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -85,7 +85,7 @@
 	telemetry.RegisterRing(registry, h.apply)
 	telemetry.RegisterRing(registry, h.audit)
 	clock := newClock()
-	h.group = duty.NewGroup(log, handlerLimit, clock, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
+	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	node, state, err := h.openData(clock)
 	if err != nil {
 		return nil, err
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -22,17 +22,21 @@
 	Run  func(ctx context.Context, progress *Progress) error
 }
 
-// Progress records whether a duty is inside a handler and since when.
+// Progress records which handler a duty is in. The duty calls Begin and End, the
+// watchdog reads.
 type Progress struct {
-	busySince atomic.Int64 // nanoseconds of the group's clock plus 1; 0 while waiting
-	now       func() time.Duration
+	handlers uint64        // begun so far; used by the duty only
+	running  atomic.Uint64 // number of the handler that runs; 0 while waiting
 }
 
 // Begin marks the start of a handler.
-func (p *Progress) Begin() { p.busySince.Store(int64(p.now()) + 1) }
+func (p *Progress) Begin() {
+	p.handlers++
+	p.running.Store(p.handlers)
+}
 
 // End marks the end of a handler.
-func (p *Progress) End() { p.busySince.Store(0) }
+func (p *Progress) End() { p.running.Store(0) }
 
 // FromRing returns a duty that calls handle for each value of inbox, in order,
 // until the ring is closed and empty.
@@ -57,7 +61,6 @@
 type Group struct {
 	log      *slog.Logger
 	limit    time.Duration
-	now      func() time.Duration
 	onFatal  func(reason error)
 	duties   []Duty
 	progress []*Progress
@@ -68,10 +71,10 @@
 }
 
 // NewGroup returns a group whose watchdog reports a handler that runs longer
-// than limit. now is a monotonic clock; onFatal is called once with the reason
-// when a duty fails or hangs, and should end the process.
-func NewGroup(log *slog.Logger, limit time.Duration, now func() time.Duration, onFatal func(error)) *Group {
-	return &Group{log: log, limit: limit, now: now, onFatal: onFatal}
+// than limit. onFatal is called once with the reason when a duty fails or
+// hangs, and should end the process.
+func NewGroup(log *slog.Logger, limit time.Duration, onFatal func(error)) *Group {
+	return &Group{log: log, limit: limit, onFatal: onFatal}
 }
 
 // Add registers a duty. It must be called before Start.
@@ -82,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	for _, d := range g.duties {
-		p := &Progress{now: g.now}
+		p := &Progress{}
 		g.progress = append(g.progress, p)
 		g.done.Add(1)
 		go g.run(ctx, d, p)
@@ -119,7 +122,7 @@
 func (g *Group) busy() []string {
 	var names []string
 	for i, p := range g.progress {
-		if p.busySince.Load() != 0 {
+		if p.running.Load() != 0 {
 			names = append(names, g.duties[i].Name)
 		}
 	}
@@ -146,7 +149,7 @@
 // ticks and not time, because a host that was frozen and goes on sees a long
 // time pass in which no duty could have made progress.
 type watchdog struct {
-	handler []int64 // busySince of the handler that was running at the last tick
+	handler []uint64 // that was running at the last tick
 	ticks   []int
 }
 
@@ -154,7 +157,7 @@
 	defer g.done.Done()
 	ticker := time.NewTicker(max(g.limit/watchTicks, time.Millisecond))
 	defer ticker.Stop()
-	w := watchdog{handler: make([]int64, len(g.progress)), ticks: make([]int, len(g.progress))}
+	w := watchdog{handler: make([]uint64, len(g.progress)), ticks: make([]int, len(g.progress))}
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,7 +176,7 @@
 func (g *Group) check(w *watchdog) []string {
 	var hung []string
 	for i, p := range g.progress {
-		handler := p.busySince.Load()
+		handler := p.running.Load()
 		if handler == 0 || handler != w.handler[i] {
 			w.handler[i], w.ticks[i] = handler, 0
 			continue
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,16 +20,13 @@
 
 var _ = Describe("Group", func() {
 	var (
-		clock  atomic.Int64
 		reason chan error
 		group  *Group
 		inbox  *ring.Ring[int]
 	)
 	BeforeEach(func() {
-		clock.Store(0)
 		reason = make(chan error, 1)
-		now := func() time.Duration { return time.Duration(clock.Load()) }
-		group = NewGroup(slog.New(slog.DiscardHandler), 4*time.Millisecond, now, func(err error) { reason <- err })
+		group = NewGroup(slog.New(slog.DiscardHandler), 4*time.Millisecond, func(err error) { reason <- err })
 		inbox = ring.New[int]("inbox", 1, ring.Block)
 	})
 
@@ -51,19 +47,17 @@
 		Expect(group.Stop(context.Background())).To(Succeed())
 	})
 
-	// Guards against a watchdog that ends a process because its host was frozen for
-	// a while: the clock jumps, but no duty had a chance to make progress.
+	// Guards against a watchdog that ends a process because its host was frozen for a
+	// while: it saw the same handler twice, but the duty had no chance to make progress.
 	It("does not take a frozen process for a hung duty", func() {
-		p := &Progress{now: func() time.Duration { return time.Duration(clock.Load()) }}
+		p := &Progress{}
 		group.duties, group.progress = []Duty{{Name: "steady"}}, []*Progress{p}
-		w := watchdog{handler: make([]int64, 1), ticks: make([]int, 1)}
+		w := watchdog{handler: make([]uint64, 1), ticks: make([]int, 1)}
 		p.Begin()
 		Expect(group.check(&w)).To(BeEmpty())
-		clock.Store(int64(time.Hour))
 		Expect(group.check(&w)).To(BeEmpty())
 		p.End()
 		for range 2 * watchTicks {
-			clock.Add(int64(time.Millisecond))
 			p.Begin()
 			Expect(group.check(&w)).To(BeEmpty())
 			p.End()
--- a/internal/entry/capacity_bench_test.go
+++ b/internal/entry/capacity_bench_test.go
@@ -106,7 +106,7 @@
 	engine.tableChanged(0)
 	reader := &readerDuty{socket: conn, free: r.free, engine: r.engine}
 	writer := &writerDuty{conn: ipv4.NewPacketConn(conn), free: r.free}
-	group := duty.NewGroup(log, handlerLimit, clock, func(err error) { b.Error(err) })
+	group := duty.NewGroup(log, handlerLimit, func(err error) { b.Error(err) })
 	group.Add(duty.Duty{Name: "fabric reader", Run: reader.run})
 	group.Add(duty.FromRing("flow engine", r.engine, engine.handle))
 	group.Add(duty.FromRing("fabric writer", r.out, writer.handle))
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -122,7 +122,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{log: log, settings: s, rings: r, sockets: k, cancel: cancel}
 	h.peers = &peers{log: log, tls: config, links: map[string]*peerLink{}, ctx: ctx}
-	h.group = duty.NewGroup(log, handlerLimit, clock, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
+	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	placing := newBalancer(self.GetName(), self.GetIncarnation())
 	engine := &engineDuty{
 		log: log, self: self, state: directory.New(), fabric: s.FabricAddress,
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -113,7 +113,7 @@
 		fabric:   f,
 		inbox:    ring.New[backendEvent](config.Instance, backendRing, ring.DropNewest),
 		announce: ring.New[announcement](config.Instance+"-announce", 1, ring.DropOldest),
-		group:    duty.NewGroup(log, handlerLimit, now, onFatal),
+		group:    duty.NewGroup(log, handlerLimit, onFatal),
 		now:      now,
 		log:      log.With("instance", config.Instance),
 	}
--- a/internal/lab/callers.go
+++ b/internal/lab/callers.go
@@ -110,7 +110,7 @@
 		fabric: f,
 		// One event of every connection, and room for commands and ticks.
 		inbox: ring.New[callersEvent](config.Name, 2*config.Connections+1024, ring.DropNewest),
-		group: duty.NewGroup(log, handlerLimit, now, onFatal),
+		group: duty.NewGroup(log, handlerLimit, onFatal),
 		now:   now,
 	}
 	var err error
--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -89,7 +89,7 @@
 		toEntry: ring.New[delivery]("fabric-to-entry", packetRing, ring.DropNewest),
 		toStack: ring.New[delivery]("fabric-to-stack", packetRing, ring.DropNewest),
 		network: newNetwork(config.Seed, config.EntryHosts, config.Inside, config.Between),
-		group:   duty.NewGroup(log, handlerLimit, now, onFatal),
+		group:   duty.NewGroup(log, handlerLimit, onFatal),
 		now:     now,
 		header:  packet.AppendGeneve(nil, vni, nil),
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -88,7 +88,7 @@
 		inbox: ring.New[runnerEvent]("runner", runnerRing, ring.DropNewest),
 		now:   func() time.Duration { return time.Since(start) },
 	}
-	l.group = duty.NewGroup(log, handlerLimit, l.now, onFatal)
+	l.group = duty.NewGroup(log, handlerLimit, onFatal)
 	l.state = &runner{lab: l, replicas: map[string]*replica{}, expected: map[string]int{}, timeline: sortedByTime(config.Timeline)}
 	fabric.Start()
 	if err := l.startAll(); err != nil {
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -29,8 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	start := time.Now()
-	r := &Relay{conn: conn, group: duty.NewGroup(log, handlerLimit, func() time.Duration { return time.Since(start) }, onFatal)}
+	r := &Relay{conn: conn, group: duty.NewGroup(log, handlerLimit, onFatal)}
 	r.group.Add(duty.Duty{Name: "relay", Run: r.run})
 	r.group.Add(closeDuty("relay-closer", func() { _ = conn.Close() }))
 	r.group.Start()
@@ -115,14 +114,13 @@
 	if err != nil {
 		return LoadResult{}, err
 	}
-	start := time.Now()
 	run := &loadRun{
 		load: l, conn: conn, packets: ipv4.NewPacketConn(conn),
 		credits: ring.New[int]("load-credits", loadWindow+1, ring.Block),
 		result:  ring.New[LoadResult]("load-result", 1, ring.DropNewest),
 	}
 	var failure error
-	group := duty.NewGroup(log, handlerLimit, func() time.Duration { return time.Since(start) }, func(err error) {
+	group := duty.NewGroup(log, handlerLimit, func(err error) {
 		failure = err
 		run.result.Close()
 	})
--- a/internal/lab/tcpproxy.go
+++ b/internal/lab/tcpproxy.go
@@ -79,11 +79,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	start := time.Now()
 	g := &Proxy{
 		config: config, sources: sources, fabric: f, listener: listener, log: log, seed: seed,
 		inbox:   ring.New[proxyEvent]("proxy", proxyRing, ring.DropNewest),
-		group:   duty.NewGroup(log, handlerLimit, func() time.Duration { return time.Since(start) }, onFatal),
+		group:   duty.NewGroup(log, handlerLimit, onFatal),
 		streams: map[*stream]struct{}{},
 	}
 	g.group.Add(duty.Duty{Name: "proxy-acceptor", Run: g.accept})
@@ -139,10 +138,9 @@
 func (g *Proxy) startStream(source, target net.Conn) {
 	from := g.sources[source.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()]
 	g.accepted++
-	start := time.Now()
 	s := &stream{}
 	// A stream's duties end when either side closes it; that is no fault, so it is not logged.
-	s.group = duty.NewGroup(slog.New(slog.DiscardHandler), handlerLimit, func() time.Duration { return time.Since(start) },
+	s.group = duty.NewGroup(slog.New(slog.DiscardHandler), handlerLimit,
 		func(error) { _ = putRetrying(g.inbox, proxyEvent{ended: s}) })
 	forward := &pump{proxy: g, in: source, out: target, link: linkKey{from, g.config.Domain}}
 	backward := &pump{proxy: g, in: target, out: source, link: linkKey{g.config.Domain, from}}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -52,7 +52,7 @@
 		Address: "127.0.0.1:0", Certificate: certificate, Guard: testGuard(), Backend: backend, Log: quiet,
 	})
 	Expect(err).NotTo(HaveOccurred())
-	group := duty.NewGroup(quiet, time.Hour, func() time.Duration { return 0 }, func(error) {})
+	group := duty.NewGroup(quiet, time.Hour, func(error) {})
 	for _, d := range server.Duties() {
 		group.Add(d)
 	}
