--- a/cmd/cassiawood/main_test.go
+++ b/cmd/cassiawood/main_test.go
@@ -61,6 +61,7 @@
 		{Instance: "a\x1b[2J", Service: "order-desk", State: "leaving", Connections: 12},
 		{Instance: "b", Service: "sheet-print", State: "ready", Slots: 2, InUse: 1, Connections: 1},
 		{Instance: "c", Service: "sheet-print", State: "ready", Suspected: true, Connections: 1},
+		{Instance: "d", Service: "sheet-print", State: "ready", Slots: 2, InUse: operator.NotKnown, Connections: operator.NotKnown},
 	}, nil
 }
 
@@ -128,6 +129,7 @@
 		Entry("a leaving backend server", 0, "leaving, 12 connections remain", "backends"),
 		Entry("a name that acts on the terminal", 0, "a?[2J", "backends"),
 		Entry("a ready backend server", 0, "ready, 1 of 2 places in use, 1 connection", "backends"),
+		Entry("a backend server of unknown load", 0, "ready, 2 places\n", "backends"),
 		Entry("a suspected backend server", 0, "takes no new connections, 1 connection remains", "backends"),
 		Entry("hosts", 0, "draining, 2 connections remain, 3 entries behind", "hosts"),
 		Entry("domains", 0, "out of service (declared by ann), 0 of 2 hosts in contact", "domains"),
--- a/cmd/cassiawood/words.go
+++ b/cmd/cassiawood/words.go
@@ -47,23 +47,34 @@
 	if s.Priority == "balance" {
 		priority = "balance first"
 	}
-	return fmt.Sprintf("%s, %d of %s ready, %s",
-		priority, s.Ready, count(s.BackendServers, "backend server"), count(s.Connections, "connection"))
+	text := fmt.Sprintf("%s, %d of %s ready", priority, s.Ready, count(s.BackendServers, "backend server"))
+	return ifKnown(text, s.Connections, count(s.Connections, "connection"))
 }
 
 func backendInWords(b operator.BackendServer) string {
 	switch {
 	case b.State == "draining" || b.State == "leaving":
-		return b.State + ", " + remain(b.Connections)
+		return ifKnown(b.State, b.Connections, remain(b.Connections))
 	case b.State == "starting":
 		return "starting, takes no connections yet"
 	case b.Suspected:
-		return "suspected to have failed, takes no new connections, " + remain(b.Connections)
+		return ifKnown("suspected to have failed, takes no new connections", b.Connections, remain(b.Connections))
+	case b.InUse == operator.NotKnown:
+		return ifKnown(b.State+", "+count(b.Slots, "place"), b.Connections, count(b.Connections, "connection"))
 	default:
-		return fmt.Sprintf("%s, %d of %s in use, %s", b.State, b.InUse, count(b.Slots, "place"), count(b.Connections, "connection"))
+		text := fmt.Sprintf("%s, %d of %s in use", b.State, b.InUse, count(b.Slots, "place"))
+		return ifKnown(text, b.Connections, count(b.Connections, "connection"))
 	}
 }
 
+// ifKnown adds words about a number unless the number is not known.
+func ifKnown(text string, number int, words string) string {
+	if number == operator.NotKnown {
+		return text
+	}
+	return text + ", " + words
+}
+
 func hostInWords(h operator.Host) string {
 	text := h.State
 	if h.Kind == "entry" {
@@ -71,9 +82,9 @@
 		case "joined":
 			text = "joined, copies what it will hold"
 		case "draining":
-			text = "draining, " + remain(h.Connections)
+			text = ifKnown("draining", h.Connections, remain(h.Connections))
 		case "active":
-			text = "active, " + count(h.Connections, "connection")
+			text = ifKnown("active", h.Connections, count(h.Connections, "connection"))
 		}
 	}
 	switch {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -86,7 +86,7 @@
 func (d *applyDuty) serviceView(s *directory.ServiceState) operator.Service {
 	view := operator.Service{
 		Name: s.Name, Section: s.Section, Address: s.Address.String(), Protocol: "TCP", Priority: "unbroken",
-		AnnouncedAs: s.AnnouncedAs, BackendServers: len(s.Members()),
+		AnnouncedAs: s.AnnouncedAs, BackendServers: len(s.Members()), Connections: operator.NotKnown,
 	}
 	if s.Protocol == document.UDP {
 		view.Protocol = "UDP"
@@ -117,6 +117,7 @@
 			servers = append(servers, operator.BackendServer{
 				Instance: e.Instance, Service: e.Service, Address: e.Address.String(), Domain: e.Domain,
 				State: endpointStates[e.State], Suspected: e.Suspected, Slots: e.Slots,
+				InUse: operator.NotKnown, Connections: operator.NotKnown,
 			})
 		}
 		return servers, nil
@@ -140,7 +141,9 @@
 func (d *applyDuty) hostViews() []operator.Host {
 	var hosts []operator.Host
 	for _, h := range d.state.Hosts() {
-		view := operator.Host{Name: h.Name, Kind: "entry", Domain: h.Domain, State: "joined"}
+		view := operator.Host{
+			Name: h.Name, Kind: "entry", Domain: h.Domain, State: "joined", Connections: operator.NotKnown,
+		}
 		if h.State == directory.HostActive {
 			view.State = "active"
 		}
@@ -153,7 +156,7 @@
 		hosts = append(hosts, view)
 	}
 	for id, domain := range d.controlDomains {
-		view := operator.Host{Name: fmt.Sprintf("control-%d", id), Kind: "control", Domain: domain, State: "voter"}
+		view := operator.Host{Name: fmt.Sprintf("control-%d", id), Kind: "control", Domain: domain, State: "voter", Connections: operator.NotKnown}
 		if id == d.status.Leader {
 			view.State = "leader"
 		}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -72,6 +72,9 @@
 	ChangeID string    `json:"change_id"`
 }
 
+// NotKnown stands for a number that the control hosts do not know.
+const NotKnown = -1
+
 // Service is a service in force, with its load.
 type Service struct {
 	Name           string `json:"name"`
@@ -83,7 +86,7 @@
 	AnnouncedAs    string `json:"announced_as"`
 	BackendServers int    `json:"backend_servers"` // all that are present
 	Ready          int    `json:"ready"`           // those that take new connections
-	Connections    int    `json:"connections"`
+	Connections    int    `json:"connections"`     // NotKnown if it is not
 }
 
 // BackendServer is one instance of a backend server.
@@ -95,8 +98,8 @@
 	State       string `json:"state"` // "starting", "ready", "draining" or "leaving"
 	Suspected   bool   `json:"suspected"`
 	Slots       int    `json:"slots"`
-	InUse       int    `json:"slots_in_use"`
-	Connections int    `json:"connections"`
+	InUse       int    `json:"slots_in_use"` // NotKnown if it is not
+	Connections int    `json:"connections"`  // NotKnown if it is not
 }
 
 // Host is an entry host or a control host.
@@ -104,8 +107,8 @@
 	Name        string `json:"name"`
 	Kind        string `json:"kind"` // "entry" or "control"
 	Domain      string `json:"failure_domain"`
-	State       string `json:"state"` // "joined", "active", "draining", "silent"; "leader", "voter", "catching up"
-	Connections int    `json:"connections"`
+	State       string `json:"state"`          // "joined", "active", "draining", "silent"; "leader", "voter", "catching up"
+	Connections int    `json:"connections"`    // NotKnown if it is not
 	Behind      uint64 `json:"entries_behind"` // log entries that it has yet to apply
 }
 
