Run the announcement server as a duty

Cause: it ran on a bare goroutine, so a failure of it was logged and the process went on. Change: a duty of the group, which ends the process when it fails.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -142,6 +142,7 @@
 	}
 	h.group.Add(pages.Duty())
 	h.server = &http.Server{Handler: announce.Handler(submitter{control: r.control}), ReadTimeout: handlerLimit}
+	h.group.Add(duty.Duty{Name: "announcement server", Run: h.serveAnnouncements})
 	return h, nil
 }
 
@@ -179,7 +180,6 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.group.Start()
-			go h.serveAnnouncements()
 			h.log.Info("entry host started", "host", h.settings.Host, "failureDomain", h.settings.FailureDomain,
 				"packets", h.settings.PacketAddress)
 			return nil
@@ -188,8 +188,12 @@
 	})
 }
 
-func (h *Host) serveAnnouncements() {
+// serveAnnouncements ends in order when a planned stop shuts the server down,
+// which comes before the end of the other duties.
+func (h *Host) serveAnnouncements(ctx context.Context, _ *duty.Progress) error {
 	if err := h.server.Serve(h.sockets.announce); !errors.Is(err, http.ErrServerClosed) {
-		h.log.Error("announcements are no longer served", "error", err)
+		return fmt.Errorf("serve announcements: %w", err)
 	}
+	<-ctx.Done()
+	return nil
 }
