Share the loop of periodic duties

Change: duty.Every; a tick of the lab counts as a handler for the watchdog now. Result: tests of duty, entry, control, operator and lab pass.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -223,13 +223,12 @@
 		confirmed: map[string]confirmation{}, waiting: map[string][]waiter{}, followers: map[*ring.Ring[*wirepb.Envelope]]*follower{},
 	}
 	server := &linkServer{logger: h.log, listener: h.listener, tls: config, log: h.logInbox, apply: h.apply}
-	ticker := &clockDuty{log: h.logInbox, apply: h.apply, clock: clock}
 	h.group.Add(duty.FromRing("log", h.logInbox, logs.handle))
 	h.group.Add(duty.FromRing("storage", h.storage, storing.handle))
 	h.group.Add(duty.FromRing("directory", h.apply, applying.handle))
 	h.group.Add(duty.FromRing("audit trail", h.audit, h.trail.Append))
 	h.group.Add(duty.Duty{Name: "link server", Run: server.run})
-	h.group.Add(duty.Duty{Name: "clock", Run: ticker.run})
+	h.group.Add(h.clock(clock))
 }
 
 func register(lifecycle fx.Lifecycle, h *Host) {
@@ -256,27 +255,15 @@
 	return errors.Join(err, h.store.Close(), h.trail.Close())
 }
 
-// clockDuty puts ticks into the inboxes. A full inbox loses a tick, since the
-// next one carries the later time.
-type clockDuty struct {
-	log   *ring.Ring[logEvent]
-	apply *ring.Ring[applyEvent]
-	clock func() time.Duration
-}
-
-func (d *clockDuty) run(ctx context.Context, _ *duty.Progress) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for n := 1; ; n++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			now := d.clock()
-			d.log.Offer(logTick{now: now})
-			if n%applyTickEvery == 0 {
-				d.apply.Offer(applyTick{now: now})
-			}
+// clock returns the duty that puts ticks into the inboxes. A full inbox loses a
+// tick, since the next one carries the later time.
+func (h *Host) clock(clock func() time.Duration) duty.Duty {
+	ticks := 0
+	return duty.Every("clock", tickInterval, func() {
+		now := clock()
+		h.logInbox.Offer(logTick{now: now})
+		if ticks++; ticks%applyTickEvery == 0 {
+			h.apply.Offer(applyTick{now: now})
 		}
-	}
+	})
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -57,6 +57,25 @@
 	}}
 }
 
+// Every returns a duty that calls handle at each interval until the process
+// stops. A call that takes longer than the interval leaves out ticks.
+func Every(name string, interval time.Duration, handle func()) Duty {
+	return Duty{Name: name, Run: func(ctx context.Context, progress *Progress) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				progress.Begin()
+				handle()
+				progress.End()
+			}
+		}
+	}}
+}
+
 // Group starts, watches and stops the duties of a process.
 type Group struct {
 	log      *slog.Logger
--- a/internal/entry/io.go
+++ b/internal/entry/io.go
@@ -137,27 +137,14 @@
 // tickInterval drives the timers of all duties. It divides the hello interval.
 const tickInterval = 100 * time.Millisecond
 
-// clockDuty puts ticks into the inboxes of the other duties. A full inbox loses
-// a tick, since the next one carries the later time.
-type clockDuty struct {
-	engine  *ring.Ring[engineEvent]
-	control *ring.Ring[controlEvent]
-	clock   func() time.Duration
-}
-
-func (d *clockDuty) run(ctx context.Context, _ *duty.Progress) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			now := d.clock()
-			d.engine.Offer(engineTick{now: now})
-			d.control.Offer(controlTick{now: now})
-		}
-	}
+// newClock returns the duty that puts ticks into the inboxes of the other
+// duties. A full inbox loses a tick, since the next one carries the later time.
+func newClock(r *rings, clock func() time.Duration) duty.Duty {
+	return duty.Every("clock", tickInterval, func() {
+		now := clock()
+		r.engine.Offer(engineTick{now: now})
+		r.control.Offer(controlTick{now: now})
+	})
 }
 
 // submitter passes announcements to the leader.
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -164,7 +164,6 @@
 	for _, a := range h.settings.PeerHosts {
 		boot.peers = append(boot.peers, a.String())
 	}
-	ticker := &clockDuty{engine: r.engine, control: r.control, clock: clock}
 	h.group.Add(duty.Duty{Name: "fabric reader", Run: reader.run})
 	h.group.Add(duty.FromRing("flow engine", r.engine, engine.handle))
 	h.group.Add(duty.FromRing("fabric writer", r.out, writer.handle))
@@ -173,7 +172,7 @@
 	h.group.Add(duty.Duty{Name: "peer server", Run: peerServer.run})
 	h.group.Add(duty.Duty{Name: "prober", Run: prober.run})
 	h.group.Add(duty.Duty{Name: "bootstrap", Run: boot.run})
-	h.group.Add(duty.Duty{Name: "clock", Run: ticker.run})
+	h.group.Add(newClock(r, clock))
 }
 
 func register(lifecycle fx.Lifecycle, h *Host) {
--- a/internal/lab/fabric.go
+++ b/internal/lab/fabric.go
@@ -125,20 +125,11 @@
 
 // tickDuty calls put every interval unless the previous tick still waits.
 func tickDuty(name string, interval time.Duration, waiting *atomic.Bool, put func()) duty.Duty {
-	return duty.Duty{Name: name, Run: func(ctx context.Context, _ *duty.Progress) error {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				if waiting.CompareAndSwap(false, true) {
-					put()
-				}
-			}
+	return duty.Every(name, interval, func() {
+		if waiting.CompareAndSwap(false, true) {
+			put()
 		}
-	}}
+	})
 }
 
 // Addr returns the address that entry hosts send to.
--- a/internal/operator/certificate.go
+++ b/internal/operator/certificate.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/tls"
 	"fmt"
 	"log/slog"
@@ -71,20 +70,7 @@
 
 // Duty returns the duty that follows the files.
 func (c *Certificate) Duty() duty.Duty {
-	return duty.Duty{Name: "operator certificate", Run: func(ctx context.Context, progress *duty.Progress) error {
-		ticker := time.NewTicker(reloadEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				progress.Begin()
-				c.follow()
-				progress.End()
-			}
-		}
-	}}
+	return duty.Every("operator certificate", reloadEvery, c.follow)
 }
 
 // follow reloads and logs. While the two files are being replaced they do not
