Bound the hints of holders and count control bytes

Cause: entry hosts sent 14 KB/s of hints to each other at 200 short balance-first flows a second; ruled out: hellos (0.5 KB/s) and copies of records (only at the restart). Change: no hints about flows younger than 2 s, at most 20 a second; counters of the bytes sent to control hosts and to entry hosts. Without the age, TestHintBudget fails in its first row.

--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -97,6 +99,7 @@
 	self      *wirepb.Host
 	inbox     *ring.Ring[controlEvent]
 	engine    *ring.Ring[engineEvent]
+	sent      metrics.Counter // bytes
 
 	now          time.Duration
 	session      *wire.Session
@@ -246,6 +249,7 @@
 	if l.stream == nil {
 		return
 	}
+	l.sent.Inc(wire.Bytes(e))
 	if err := l.stream.Send(e); err != nil {
 		l.log.Warn("session with control host lost", "error", err)
 		l.disconnect()
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -35,6 +35,19 @@
 	return c
 }
 
+// traffic counts the bytes of control messages that this host sends.
+type traffic struct {
+	control metrics.Counter // to control hosts
+	peers   metrics.Counter // to entry hosts
+}
+
+func newTraffic(registry metrics.Registry) *traffic {
+	return &traffic{
+		control: metrics.NewRegisteredCounter("control.sent-bytes", registry),
+		peers:   metrics.NewRegisteredCounter("peers.sent-bytes", registry),
+	}
+}
+
 // refuse counts a packet that the codec refused, by its reason.
 func (c *counters) refuse(err error) {
 	reason := packet.ErrHandoff
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -121,7 +121,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{log: log, settings: s, rings: r, sockets: k, cancel: cancel}
-	h.peers = &peers{log: log, tls: config, links: map[string]*peerLink{}, ctx: ctx}
+	bytes := newTraffic(registry)
+	h.peers = &peers{log: log, tls: config, sent: bytes.peers, links: map[string]*peerLink{}, ctx: ctx}
 	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	placing := newBalancer(self.GetName(), self.GetIncarnation())
 	engine := &engineDuty{
@@ -135,7 +136,7 @@
 			Seed: self.GetIncarnation(), Capacity: s.MaxFlows, Choose: placing.choose, Closed: placing.closed,
 		}),
 	}
-	h.addDuties(engine, config, clock)
+	h.addDuties(engine, config, clock, bytes.control)
 	pages, err := telemetry.NewServer(s.TelemetryAddress.String(), registry, nil)
 	if err != nil {
 		return nil, err
@@ -146,7 +147,9 @@
 	return h, nil
 }
 
-func (h *Host) addDuties(engine *engineDuty, config *tls.Config, clock func() time.Duration) {
+func (h *Host) addDuties(engine *engineDuty, config *tls.Config, clock func() time.Duration,
+	sent metrics.Counter,
+) {
 	r, k := h.rings, h.sockets
 	addresses := make([]string, 0, len(h.settings.ControlHosts))
 	for _, a := range h.settings.ControlHosts {
@@ -154,7 +157,7 @@
 	}
 	link := &controlLink{
 		log: h.log, addresses: addresses, tls: config, self: engine.self, inbox: r.control, engine: r.engine,
-		pending: map[uint64]pendingProposal{},
+		pending: map[uint64]pendingProposal{}, sent: sent,
 	}
 	reader := &readerDuty{socket: k.packets, free: r.free, engine: r.engine}
 	writer := &writerDuty{conn: ipv4.NewPacketConn(k.packets), free: r.free}
--- a/internal/entry/peer_link.go
+++ b/internal/entry/peer_link.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 
+	"github.com/rcrowley/go-metrics"
+
 	"cassiawood/internal/directory"
 	"cassiawood/internal/duty"
 	"cassiawood/internal/ring"
@@ -38,6 +40,7 @@
 	log   *slog.Logger
 	tls   *tls.Config
 	links map[string]*peerLink
+	sent  metrics.Counter // bytes
 	ctx   context.Context // ends the links; set before the duty starts
 }
 
@@ -46,6 +49,7 @@
 	target peerTarget
 	outbox *ring.Ring[*wirepb.Envelope]
 	link   *wire.Link
+	sent   metrics.Counter // bytes
 }
 
 func (p *peers) handle(c peerCommand) error {
@@ -75,7 +79,7 @@
 			continue
 		}
 		link := &peerLink{
-			target: target, link: wire.NewLink(target.address, p.tls),
+			target: target, link: wire.NewLink(target.address, p.tls), sent: p.sent,
 			outbox: ring.New[*wirepb.Envelope]("peer-out-"+host, peerOutboxCapacity, ring.DropOldest),
 		}
 		p.links[host] = link
@@ -96,6 +100,7 @@
 		if err != nil {
 			return
 		}
+		l.sent.Inc(wire.Bytes(e))
 		// A lost message is repeated by the engine, and the next hello dials again.
 		_ = l.link.Send(ctx, e)
 	}
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -73,6 +73,7 @@
 	handover    handover
 	recentFlows recentFlows
 	silent      silence
+	hints       hintBudget
 	nextBatch   uint64
 	out         Effects
 }
--- /dev/null
+++ b/internal/flow/hint_test.go
@@ -0,0 +1,36 @@
+package flow
+
+import (
+	"testing"
+	"time"
+)
+
+// TestHintBudget guards against hints that exceed the control traffic allowed: short
+// flows got one from each host that their packets reached.
+func TestHintBudget(t *testing.T) {
+	e := New(Config{Host: "h", Incarnation: 1, Domain: "d", Capacity: 16})
+	en := &entry{began: stampOf(time.Minute)}
+	count := func(now time.Duration) int {
+		e.setNow(now)
+		n := 0
+		for range 10 * hintBurst {
+			if e.mayHint(en) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, row := range []struct {
+		at   time.Duration
+		want int
+	}{
+		{time.Minute + hintAge/2, 0}, // a flow that may be short
+		{time.Hour, hintBurst},
+		{time.Hour + time.Second, hintsPerSecond},
+		{2 * time.Hour, hintBurst},
+	} {
+		if got := count(row.at); got != row.want {
+			t.Errorf("at %v: %d hints, want %d", row.at, got, row.want)
+		}
+	}
+}
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -129,7 +129,7 @@
 // flow gets no hint, because its caller port may soon be used again.
 func (e *Engine) hint(q *query, en *entry) {
 	h := &q.p.Handoff
-	if !h.Present || h.Ingress == e.cfg.Host || closed(en) {
+	if !h.Present || h.Ingress == e.cfg.Host || closed(en) || !e.mayHint(en) {
 		return
 	}
 	hint := Hint{Record: e.recordOf(en), AskedAt: h.AskedAt}
@@ -143,6 +143,38 @@
 	e.send(Message{To: h.Ingress, Hints: []Hint{hint}})
 }
 
+const (
+	// hintAge keeps hints from short flows, which end before a hint saves a hop. Without
+	// it, 200 short flows a second cost 14 KB/s of hints per host.
+	hintAge = 2 * time.Second
+	// hintsPerSecond and hintBurst bound hints to about 1.5 KB/s, a part of the few
+	// kilobytes a second for control. A packet without a hint takes one hop more.
+	hintsPerSecond = 20
+	hintBurst      = 100
+)
+
+// hintBudget is a token bucket.
+type hintBudget struct {
+	tokens float64
+	at     time.Duration
+}
+
+// mayHint reports whether a hint about a flow is worth sending now, and takes it
+// from the budget.
+func (e *Engine) mayHint(en *entry) bool {
+	if e.clock.since(en.began) < hintAge {
+		return false
+	}
+	b := &e.hints
+	b.tokens = min(hintBurst, b.tokens+hintsPerSecond*(e.now-b.at).Seconds())
+	b.at = e.now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // Hint caches a holder's answer.
 func (e *Engine) Hint(now time.Duration, from string, hints []Hint) {
 	e.setNow(now)
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -8,11 +8,12 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"cassiawood/internal/wire/wirepb"
 )
@@ -39,7 +40,6 @@
 	conn net.Conn
 	in   *bufio.Reader
 	out  *bufio.Writer
-	sent atomic.Uint64
 }
 
 func muxConfig() *yamux.Config {
@@ -120,8 +120,7 @@
 
 // Send writes one envelope and flushes it.
 func (s *Stream) Send(e *wirepb.Envelope) error {
-	n, err := protodelim.MarshalTo(s.out, e)
-	s.sent.Add(uint64(n))
+	_, err := protodelim.MarshalTo(s.out, e)
 	if err == nil {
 		err = s.out.Flush()
 	}
@@ -144,8 +143,13 @@
 	return e, nil
 }
 
-// SentBytes returns the number of envelope bytes sent, without framing below it.
-func (s *Stream) SentBytes() uint64 { return s.sent.Load() }
-
 // Close ends the stream.
 func (s *Stream) Close() error { return s.conn.Close() }
+
+// Bytes returns the length of an envelope on a stream, without what TLS and
+// TCP add to it.
+func Bytes(e *wirepb.Envelope) int64 {
+	const header = 12 // of yamux
+	n := proto.Size(e)
+	return int64(header + protowire.SizeBytes(n))
+}
