Show the depth and drops of the remaining fixed rings

Cause: free batches, probe targets, storage and the outboxes to other control hosts were not among the metrics. Change: they are registered; the outboxes of links to entry hosts, which come and go, are not. Result: tests of entry and control pass.

--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -82,6 +82,7 @@
 		members:  map[uint64]*ring.Ring[changelog.Message]{},
 	}
 	telemetry.RegisterRing(registry, h.logInbox)
+	telemetry.RegisterRing(registry, h.storage)
 	telemetry.RegisterRing(registry, h.apply)
 	telemetry.RegisterRing(registry, h.audit)
 	clock := newClock()
@@ -95,6 +96,9 @@
 		return nil, fmt.Errorf("linkAddress: %w", err)
 	}
 	h.addDuties(node, state, config, clock)
+	for _, outbox := range h.members {
+		telemetry.RegisterRing(registry, outbox)
+	}
 	pages, err := telemetry.NewServer(s.TelemetryAddress.String(), registry, operatorBackend{apply: h.apply}.Status)
 	if err != nil {
 		return nil, err
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -56,10 +56,12 @@
 		peers:   ring.New[peerCommand]("peers-in", peersInboxCapacity, ring.Block),
 		probes:  ring.New[[]probeTarget]("probe-targets", 1, ring.DropOldest),
 	}
+	telemetry.RegisterRing(registry, r.free)
 	telemetry.RegisterRing(registry, r.out)
 	telemetry.RegisterRing(registry, r.engine)
 	telemetry.RegisterRing(registry, r.control)
 	telemetry.RegisterRing(registry, r.peers)
+	telemetry.RegisterRing(registry, r.probes)
 	return r
 }
 
