--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -57,7 +58,7 @@
 
 	delay   time.Duration               // one way, between hosts
 	loss    float64                     // share of messages that TCP has to repeat
-	random  *rand.Rand                  // of the loss
+	random  map[[2]string]*rand.Rand    // of the loss, one source for each link, so that map order does not matter
 	flights []flight                    // messages on the way, by arrival
 	last    map[[2]string]time.Duration // arrival of the last message on each link
 }
@@ -68,6 +69,7 @@
 // flight is a message on the way.
 type flight struct {
 	at      time.Duration
+	link    [2]string
 	arrives func()
 }
 
@@ -78,21 +80,26 @@
 		arrives()
 		return
 	}
+	link := [2]string{from, to}
+	if s.random[link] == nil {
+		s.random[link] = rand.New(rand.NewPCG(1, xxhash.Sum64String(from+">"+to)))
+	}
 	at := s.now + s.delay
-	if s.random.Float64() < s.loss {
+	if s.random[link].Float64() < s.loss {
 		at += retransmission
 	}
-	link := [2]string{from, to}
 	at = max(at, s.last[link])
 	s.last[link] = at
-	s.flights = append(s.flights, flight{at, arrives})
+	s.flights = append(s.flights, flight{at, link, arrives})
 }
 
 // land delivers what has arrived.
 func (s *site) land() {
 	due := s.flights
 	s.flights = nil
-	slices.SortStableFunc(due, func(a, b flight) int { return cmp.Compare(a.at, b.at) })
+	slices.SortStableFunc(due, func(a, b flight) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), slices.Compare(a.link[:], b.link[:]))
+	})
 	for _, f := range due {
 		if f.at <= s.now {
 			f.arrives()
@@ -111,7 +118,7 @@
 
 func newSite() *site {
 	s := &site{
-		now: time.Hour, silent: map[string]bool{}, entries: map[string]*entryHost{}, random: rand.New(rand.NewPCG(1, 1)),
+		now: time.Hour, silent: map[string]bool{}, entries: map[string]*entryHost{}, random: map[[2]string]*rand.Rand{},
 		last: map[[2]string]time.Duration{},
 	}
 	for id := uint64(1); id <= 3; id++ {
