Let the membership of the log change by entries of the log

Cause: the log of the control hosts had a fixed list of members from the settings. On the users' platform no such list exists, lost hosts are replaced at new addresses and wiped disks come back empty. The duties of log and storage move to internal/replica, so that a second process can run them.

--- a/internal/changelog/election.go
+++ b/internal/changelog/election.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func (n *Node) quorum() int { return len(n.cfg.Members)/2 + 1 }
+func (n *Node) quorum() int { return len(n.voters)/2 + 1 }
 
 // resetElectionDeadline draws a new timeout. Random timeouts keep members from
 // starting elections at the same time again and again.
@@ -29,7 +29,7 @@
 	if n.role == Leader {
 		n.resetElectionDeadline()
 	}
-	n.role, n.leader, n.progress, n.votes = Follower, leader, nil, nil
+	n.role, n.leader, n.progress, n.votes, n.reads = Follower, leader, nil, nil, nil
 }
 
 // hearLeader notes a message from the leader of the current term.
@@ -66,11 +66,24 @@
 	n.votes = map[uint64]bool{n.cfg.ID: true}
 	last := n.log.last()
 	for _, id := range n.others {
+		if !n.voters[id] {
+			continue
+		}
 		n.send(Message{Kind: kind, To: id, Term: term, Index: last.index, LogTerm: last.term, Context: n.campaign})
 	}
 }
 
-func (n *Node) won() bool { return len(n.votes) >= n.quorum() }
+// won counts the votes of the present voters, since a vote may have been asked
+// for before a change of the membership.
+func (n *Node) won() bool {
+	count := 0
+	for id := range n.votes {
+		if n.voters[id] {
+			count++
+		}
+	}
+	return count >= n.quorum()
+}
 
 // handlePreVote grants when the candidate could win and this member has not
 // heard from a leader for the shortest election timeout.
@@ -134,7 +147,7 @@
 	n.role, n.leader, n.votes = Leader, n.cfg.ID, nil
 	n.progress = make(map[uint64]*progress, len(n.others))
 	for _, id := range n.others {
-		n.progress[id] = &progress{next: n.log.lastIndex() + 1, since: n.stamp(), contact: n.now}
+		n.progress[id] = n.newProgress()
 	}
 	n.nextHeartbeat = n.now
 	n.appendOwn(nil)
@@ -144,9 +157,13 @@
 // It uses the times at which answered messages were sent, so that late replies
 // do not make the contact look newer than it is.
 func (n *Node) quorumContact() time.Duration {
-	contacts := []time.Duration{n.now}
-	for _, pr := range n.progress {
-		contacts = append(contacts, pr.contact)
+	var contacts []time.Duration
+	for id := range n.voters {
+		if id == n.cfg.ID {
+			contacts = append(contacts, n.now)
+		} else {
+			contacts = append(contacts, n.progress[id].contact)
+		}
 	}
 	slices.Sort(contacts)
 	return contacts[len(contacts)-n.quorum()]
--- a/internal/changelog/follower.go
+++ b/internal/changelog/follower.go
@@ -24,6 +24,7 @@
 		return
 	}
 	n.log.merge(m.Entries)
+	n.membershipChanged()
 	reply.Index = m.Index + uint64(len(m.Entries))
 	n.commitTo(min(m.Commit, reply.Index))
 	reply.Kind = n.replyKind() // the commit may have ended the rejoin
@@ -65,6 +66,7 @@
 		n.commitTo(s.Index)
 	default:
 		n.log.install(*s)
+		n.membershipChanged()
 		n.hs.Commit = s.Index
 		n.pending.snapshot, n.pending.install, n.pending.installed = s, true, n.pending.taken
 		n.endRejoin()
--- a/internal/changelog/leader.go
+++ b/internal/changelog/leader.go
@@ -26,11 +26,16 @@
 	overtook bool     // a heartbeat sent after the unconfirmed snapshot was answered
 	sentAt   time.Duration
 	contact  time.Duration // when the latest answered message was sent
+	answered uint64        // stamp of that message
 
 	nonce     uint64 // of the follower's latest rejoin
 	lostStamp uint64 // replies to older messages come from before the loss of its disk
 }
 
+func (n *Node) newProgress() *progress {
+	return &progress{next: n.log.lastIndex() + 1, since: n.stamp(), contact: n.now}
+}
+
 // probe starts to look for the matching index at next-1.
 func (n *Node) probe(pr *progress, next uint64) {
 	pr.state, pr.waiting, pr.inflight = probing, false, nil
@@ -125,12 +130,17 @@
 		return
 	}
 	pr := n.progress[m.From]
+	if pr == nil { // a member that was removed
+		return
+	}
 	if m.Context < pr.lostStamp || m.Context > n.lastStamp {
 		return
 	}
 	counts := m.Kind == KindAppendReply
 	if counts {
 		pr.contact = max(pr.contact, min(time.Duration(m.Context), n.now))
+		pr.answered = max(pr.answered, m.Context)
+		n.confirmReads()
 	}
 	if m.Reject {
 		if m.Context >= pr.since && pr.state != snapshotting {
@@ -182,9 +192,13 @@
 // advanceCommit commits the entries of the current term that a majority has
 // synced, and with them all earlier ones.
 func (n *Node) advanceCommit() {
-	counted := []uint64{n.log.stable}
-	for _, pr := range n.progress {
-		counted = append(counted, pr.counted)
+	var counted []uint64
+	for id := range n.voters {
+		if id == n.cfg.ID {
+			counted = append(counted, n.log.stable)
+		} else {
+			counted = append(counted, n.progress[id].counted)
+		}
 	}
 	slices.Sort(counted)
 	index := counted[len(counted)-n.quorum()]
@@ -193,4 +207,8 @@
 		n.hs.Commit = index
 		n.broadcast = true
 	}
+	// A leader that was taken out leads until that change is committed.
+	if !n.isVoter() && n.log.membership().index <= n.log.commit {
+		n.becomeFollower(n.hs.Term, 0)
+	}
 }
--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -22,10 +22,16 @@
 	applied  uint64 // confirmed by Advance
 	handed   uint64 // last entry given to storage
 	stable   uint64 // last entry known to be synced
+
+	memberships []membershipAt // in the order of the log; the first one is that of base or older
 }
 
-func newEntryLog(snapshot Snapshot, entries []Entry, commit uint64) (*entryLog, error) {
+func newEntryLog(snapshot Snapshot, entries []Entry, commit uint64, initial Membership) (*entryLog, error) {
 	l := &entryLog{snapshot: snapshot, base: mark{snapshot.Index, snapshot.Term, snapshot.At}}
+	if snapshot.Members != nil {
+		initial = snapshot.Members
+	}
+	l.memberships = []membershipAt{{snapshot.Index, initial}}
 	for _, e := range entries {
 		if e.Index <= snapshot.Index {
 			continue
@@ -35,7 +41,7 @@
 			return nil, fmt.Errorf("changelog: stored entry %d of term %d cannot follow entry %d of term %d",
 				e.Index, e.Term, last.index, last.term)
 		}
-		l.entries = append(l.entries, e)
+		l.append(e)
 	}
 	l.commit = max(commit, snapshot.Index)
 	if l.commit > l.lastIndex() {
@@ -92,12 +98,36 @@
 	return all
 }
 
-func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *entryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	for i := range entries {
+		if e := &entries[i]; e.Members != nil {
+			l.memberships = append(l.memberships, membershipAt{e.Index, e.Members})
+		}
+	}
+}
+
+// membership returns the last membership of the log.
+func (l *entryLog) membership() membershipAt { return l.memberships[len(l.memberships)-1] }
+
+// membershipOf returns the membership as of the entry index.
+func (l *entryLog) membershipOf(index uint64) Membership {
+	found := l.memberships[0].members
+	for _, m := range l.memberships {
+		if m.index <= index {
+			found = m.members
+		}
+	}
+	return found
+}
 
 // truncateAfter removes the entries after index.
 func (l *entryLog) truncateAfter(index uint64) {
 	l.entries = append([]Entry(nil), l.slice(l.base.index, index)...)
 	l.handed, l.stable = min(l.handed, index), min(l.stable, index)
+	for len(l.memberships) > 1 && l.membership().index > index {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
 }
 
 // merge adds entries of the leader that follow a matching entry and replaces
@@ -157,11 +187,14 @@
 			index, l.snapshot.Index, l.applied)
 	}
 	e := l.entries[index-l.base.index-1]
-	l.snapshot = Snapshot{Index: index, Term: e.Term, At: e.At, State: state}
+	l.snapshot = Snapshot{Index: index, Term: e.Term, At: e.At, State: state, Members: l.membershipOf(index)}
 	if index-l.base.index <= keep {
 		return nil
 	}
 	cut := index - keep - l.base.index
+	for len(l.memberships) > 1 && l.memberships[1].index <= index-keep {
+		l.memberships = l.memberships[1:]
+	}
 	e = l.entries[cut-1]
 	l.entries = append([]Entry(nil), l.entries[cut:]...)
 	l.base = mark{e.Index, e.Term, e.At}
@@ -172,5 +205,6 @@
 func (l *entryLog) install(s Snapshot) {
 	*l = entryLog{
 		snapshot: s, base: mark{s.Index, s.Term, s.At}, commit: s.Index, applied: s.Index, handed: s.Index, stable: s.Index,
+		memberships: []membershipAt{{s.Index, s.Members}},
 	}
 }
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -19,6 +19,7 @@
 type Node struct {
 	cfg    Config
 	others []uint64
+	voters map[uint64]bool
 	random *rand.Rand
 
 	now     time.Duration
@@ -39,6 +40,9 @@
 	nextHeartbeat time.Duration
 	broadcast     bool // entries or a commit index wait to be sent
 
+	reads     []read   // leader only: not confirmed yet
+	confirmed []uint64 // tickets for the next Ready
+
 	rejoin rejoin
 
 	messages []Message
@@ -63,20 +67,22 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	log, err := newEntryLog(snapshot, entries, hs.Commit)
+	log, err := newEntryLog(snapshot, entries, hs.Commit, cfg.Initial)
 	if err != nil {
 		return nil, err
 	}
 	lost := hs == HardState{} && log.lastIndex() == 0
 	n := &Node{
 		cfg: cfg, log: log, hs: hs, storedHS: hs, leaderContact: -1,
-		random: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.ID)), voters: map[uint64]bool{},
 	}
 	for _, id := range cfg.Members {
+		n.voters[id] = true
 		if id != cfg.ID {
 			n.others = append(n.others, id)
 		}
 	}
+	n.membershipChanged()
 	if lost && cfg.Rejoining && len(n.others) > 0 {
 		n.hs.Rejoining = true
 	}
@@ -106,7 +112,7 @@
 		n.tickLeader()
 	case n.hs.Rejoining:
 		n.tickRejoin()
-	case n.now >= n.electionDeadline:
+	case n.now >= n.electionDeadline && n.isVoter():
 		n.startPreVote()
 	}
 }
@@ -136,7 +142,8 @@
 
 // Step handles a message from another member.
 func (n *Node) Step(m Message) {
-	if m.To != n.cfg.ID || !slices.Contains(n.others, m.From) {
+	// In a dynamic group a member may not know yet that the sender was added.
+	if m.To != n.cfg.ID || !n.cfg.Dynamic && !slices.Contains(n.others, m.From) {
 		return
 	}
 	switch m.Kind {
@@ -202,7 +209,7 @@
 // between Ready and Advance.
 func (n *Node) HasReady() bool {
 	return !n.pending.taken && (len(n.messages) > 0 || n.broadcast || n.pending.snapshot != nil ||
-		n.log.handed < n.log.lastIndex() || n.log.applied < n.log.commit || n.hardStateChanged())
+		n.log.handed < n.log.lastIndex() || n.log.applied < n.log.commit || n.hardStateChanged() || len(n.confirmed) > 0)
 }
 
 // hardStateChanged leaves out Commit, which needs no sync of its own.
@@ -222,8 +229,8 @@
 		n.replicateAll()
 	}
 	n.broadcast = false
-	r := Ready{Messages: n.messages, Snapshot: n.pending.snapshot, Install: n.pending.install}
-	n.messages = nil
+	r := Ready{Messages: n.messages, Snapshot: n.pending.snapshot, Install: n.pending.install, Confirmed: n.confirmed}
+	n.messages, n.confirmed = nil, nil
 	if last := n.log.lastIndex(); n.log.handed < last {
 		r.Entries = n.log.slice(n.log.handed, last)
 		n.log.handed = last
@@ -254,6 +261,7 @@
 	n.log.stable = max(n.log.stable, min(p.handed, n.log.handed))
 	if n.role == Leader {
 		n.advanceCommit()
+		n.confirmReads()
 	}
 }
 
@@ -273,12 +281,14 @@
 	s := Status{
 		ID: n.cfg.ID, Role: n.role, Leader: n.leader, Term: n.hs.Term, Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), Rejoining: n.hs.Rejoining, LastContact: n.leaderContact,
+		Members: n.members(), Changing: n.log.membership().index > n.log.commit,
 	}
 	if n.role == Leader {
 		s.LastContact = n.quorumContact()
 		s.Match = map[uint64]uint64{n.cfg.ID: n.log.stable}
+		s.Contact = map[uint64]time.Duration{n.cfg.ID: n.now}
 		for id, pr := range n.progress {
-			s.Match[id] = pr.match
+			s.Match[id], s.Contact[id] = pr.match, pr.contact
 		}
 	}
 	return s
--- a/internal/changelog/rejoin.go
+++ b/internal/changelog/rejoin.go
@@ -47,8 +47,8 @@
 // leader that knows what is committed, the commit index to reach.
 func (n *Node) handleJoin(m Message) {
 	reply := Message{Kind: KindJoinReply, To: m.From, Context: m.Context, Reject: true}
-	if n.role == Leader {
-		if pr := n.progress[m.From]; pr.nonce != m.Context {
+	if pr := n.progress[m.From]; n.role == Leader && pr != nil {
+		if pr.nonce != m.Context {
 			pr.nonce, pr.lostStamp = m.Context, n.stamp()
 			pr.match, pr.counted = 0, 0
 			n.probe(pr, n.log.lastIndex()+1)
--- a/internal/changelog/types.go
+++ b/internal/changelog/types.go
@@ -28,9 +28,15 @@
 // are replaced by the defaults.
 type Config struct {
 	ID      uint64   // not 0
-	Members []uint64 // all members, with ID
+	Members []uint64 // all members of a fixed group, with ID
 	Seed    uint64   // source of the election timeouts
 
+	// Dynamic makes the group change by entries of the log instead of Members.
+	// Initial are the voters of the first start, equal on all of them. A process
+	// that joins later has none: it takes part once the leader has added it.
+	Dynamic bool
+	Initial []Member
+
 	// Rejoining says that the group has already run, so that a member without
 	// hard state must have lost its disk. It has no effect on a member whose
 	// hard state is present. It must be false at the first start of a group.
@@ -71,7 +77,9 @@
 	switch {
 	case c.ID == 0 || slices.Contains(c.Members, 0):
 		return fmt.Errorf("changelog: member id 0 is not allowed")
-	case !slices.Contains(c.Members, c.ID):
+	case c.Dynamic && len(c.Members) > 0:
+		return fmt.Errorf("changelog: a dynamic group has no fixed members")
+	case !c.Dynamic && !slices.Contains(c.Members, c.ID):
 		return fmt.Errorf("changelog: members %v do not include this member %d", c.Members, c.ID)
 	case len(slices.Compact(slices.Sorted(slices.Values(c.Members)))) != len(c.Members):
 		return fmt.Errorf("changelog: members %v contain a duplicate", c.Members)
@@ -100,6 +108,9 @@
 	Term  uint64
 	At    time.Duration // leader's clock in time since the Unix epoch; never less than in the entry before
 	Data  []byte
+
+	// Members is the membership from this entry on, nil in entries that do not change it.
+	Members Membership
 }
 
 // Snapshot is the state of the application after the entry Index.
@@ -108,6 +119,8 @@
 	Term  uint64
 	At    time.Duration // of the entry Index
 	State []byte
+
+	Members Membership // as of the entry Index; nil in a fixed group
 }
 
 // Kind is the type of a message.
@@ -153,6 +166,7 @@
 	Install   bool // Snapshot replaces the stored log and the state of the application
 	Messages  []Message
 	Committed []Entry
+	Confirmed []uint64 // tickets of ReadIndex whose state is applied with Committed
 }
 
 // NeedsStorage reports whether the Ready holds anything to store.
@@ -192,7 +206,10 @@
 	// in contact: on the leader, when a quorum still answered it; on a
 	// follower, when the leader was last heard. It is -1 when there was none.
 	LastContact time.Duration
-	Match       map[uint64]uint64 // leader only: last entry known to be stored, by member
+	Match       map[uint64]uint64        // leader only: last entry known to be stored, by member
+	Contact     map[uint64]time.Duration // leader only: when the latest message that the member answered was sent
+	Members     Membership               // nil in a fixed group
+	Changing    bool                     // the latest change of the membership is not committed yet
 }
 
 // NotLeaderError refuses a proposal on a member that is not the leader.
--- a/internal/changelog/wal/record.go
+++ b/internal/changelog/wal/record.go
@@ -82,7 +82,11 @@
 	return false
 }
 
-const flagRejoining = 1
+// Flags of a hard state and of a member.
+const (
+	flagRejoining = 1
+	flagVoter     = 1
+)
 
 func appendSave(buf []byte, hs changelog.HardState, entries []changelog.Entry) []byte {
 	var flags uint64
@@ -99,6 +103,7 @@
 		buf = binary.AppendVarint(buf, int64(e.At))
 		buf = binary.AppendUvarint(buf, uint64(len(e.Data)))
 		buf = append(buf, e.Data...)
+		buf = appendMembers(buf, e.Members)
 	}
 	return buf
 }
@@ -111,9 +116,28 @@
 	buf = binary.AppendUvarint(buf, s.Index)
 	buf = binary.AppendUvarint(buf, s.Term)
 	buf = binary.AppendVarint(buf, int64(s.At))
+	buf = appendMembers(buf, s.Members)
 	return append(buf, s.State...)
 }
 
+// appendMembers writes the number of members and each of them.
+func appendMembers(buf []byte, members changelog.Membership) []byte {
+	buf = binary.AppendUvarint(buf, uint64(len(members)))
+	for _, m := range members {
+		var flags uint64
+		if m.Voter {
+			flags |= flagVoter
+		}
+		buf = binary.AppendUvarint(buf, m.ID)
+		buf = binary.AppendUvarint(buf, flags)
+		for _, text := range []string{m.Address, m.Domain} {
+			buf = binary.AppendUvarint(buf, uint64(len(text)))
+			buf = append(buf, text...)
+		}
+	}
+	return buf
+}
+
 // reader takes values off the data of a record; bad is set when they run out.
 type reader struct {
 	data []byte
@@ -150,6 +174,17 @@
 	return v
 }
 
+func (r *reader) members() changelog.Membership {
+	var members changelog.Membership
+	for count := r.uvarint(); count > 0 && !r.bad; count-- {
+		m := changelog.Member{ID: r.uvarint(), Voter: r.uvarint()&flagVoter != 0}
+		m.Address = string(r.bytes(r.uvarint()))
+		m.Domain = string(r.bytes(r.uvarint()))
+		members = append(members, m)
+	}
+	return members
+}
+
 func decodeSave(data []byte) (hs changelog.HardState, entries []changelog.Entry, err error) {
 	r := reader{data: data}
 	hs = changelog.HardState{Term: r.uvarint(), Vote: r.uvarint(), Commit: r.uvarint()}
@@ -157,6 +192,7 @@
 	for count := r.uvarint(); count > 0 && !r.bad; count-- {
 		e := changelog.Entry{Index: r.uvarint(), Term: r.uvarint(), At: time.Duration(r.varint())}
 		e.Data = r.bytes(r.uvarint())
+		e.Members = r.members()
 		entries = append(entries, e)
 	}
 	if r.bad || len(r.data) > 0 {
@@ -180,6 +216,7 @@
 func decodeSnapshot(data []byte) (changelog.Snapshot, error) {
 	r := reader{data: data}
 	s := changelog.Snapshot{Index: r.uvarint(), Term: r.uvarint(), At: time.Duration(r.varint())}
+	s.Members = r.members()
 	if r.bad || s.Index == 0 {
 		return changelog.Snapshot{}, errMalformed
 	}
--- a/internal/control/apply.go
+++ b/internal/control/apply.go
@@ -10,6 +10,7 @@
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/directory"
 	"cassiawood/internal/member"
+	"cassiawood/internal/replica"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/telemetry"
 	"cassiawood/internal/wire"
@@ -82,7 +83,7 @@
 // other duty.
 type applyDuty struct {
 	log            *slog.Logger
-	logInbox       *ring.Ring[logEvent]
+	logInbox       *ring.Ring[replica.Event]
 	audit          *ring.Ring[audit.Record]
 	addresses      map[uint64]string // link address of each control host
 	operators      map[uint64]string // operators' URL of each control host
@@ -215,7 +216,7 @@
 	if err != nil {
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
-	if d.logInbox.Offer(logCompact{index: d.state.Index(), state: data}) {
+	if d.logInbox.Offer(replica.Compact{Index: d.state.Index(), State: data}) {
 		d.compacted = d.state.Index()
 	}
 	return nil
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -18,6 +18,7 @@
 	"cassiawood/internal/directory"
 	"cassiawood/internal/member"
 	"cassiawood/internal/operator"
+	"cassiawood/internal/replica"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire/wirepb"
 )
@@ -38,13 +39,14 @@
 // controlHost is a control host whose duties are stepped by the test.
 type controlHost struct {
 	id      uint64
-	log     *logDuty
-	storage *storageDuty
+	log     *replica.Log
+	storage *replica.Storage
 	apply   *applyDuty
-	inbox   *ring.Ring[logEvent]
+	inbox   *ring.Ring[replica.Event]
 	stored  *ring.Ring[changelog.Ready]
 	applied *ring.Ring[applyEvent]
 	audit   *ring.Ring[audit.Record]
+	links   map[uint64]*ring.Ring[changelog.Message]
 	cut     bool // no message of the log reaches or leaves it
 }
 
@@ -139,7 +141,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	log := slog.New(slog.DiscardHandler)
 	h := &controlHost{
-		id: id, inbox: ring.New[logEvent]("log", 4096, ring.Block), stored: ring.New[changelog.Ready]("storage", 1, ring.Block),
+		id: id, inbox: ring.New[replica.Event]("log", 4096, ring.Block), stored: ring.New[changelog.Ready]("storage", 1, ring.Block),
 		applied: ring.New[applyEvent]("apply", 4096, ring.Block), audit: ring.New[audit.Record]("audit", 4096, ring.Block),
 	}
 	links := map[uint64]*ring.Ring[changelog.Message]{}
@@ -149,8 +151,9 @@
 		}
 	}
 	state := directory.New()
-	h.log = &logDuty{log: log, node: node, storage: h.stored, apply: h.applied, members: links}
-	h.storage = &storageDuty{store: memoryStore{}, log: h.inbox}
+	h.links = links
+	h.log = replica.NewLog(log, node, h.stored, logOutput{apply: h.applied, members: links})
+	h.storage = replica.NewStorage(memoryStore{}, h.inbox)
 	h.apply = &applyDuty{
 		log: log, logInbox: h.inbox, audit: h.audit, clock: func() time.Duration { return s.now },
 		operators: map[uint64]string{1: "https://1", 2: "https://2", 3: "https://3"}, domains: domains,
@@ -168,7 +171,7 @@
 		s.now += tickInterval
 		s.land()
 		for _, h := range s.hosts {
-			h.inbox.Offer(logTick{now: s.now})
+			h.inbox.Offer(replica.Tick{Now: s.now})
 			if s.now%(applyTickEvery*tickInterval) == 0 {
 				h.applied.Offer(applyTick{now: s.now})
 			}
@@ -199,15 +202,15 @@
 	busy := false
 	for h.inbox.Depth()+h.stored.Depth()+h.applied.Depth() > 0 {
 		busy = true
-		stepRing(h.inbox, h.log.handle)
-		stepRing(h.stored, h.storage.handle)
+		stepRing(h.inbox, h.log.Handle)
+		stepRing(h.stored, h.storage.Handle)
 		stepRing(h.applied, h.apply.handle)
 	}
-	for to, link := range h.log.members {
+	for to, link := range h.links {
 		for link.Depth() > 0 {
 			m, _ := link.Get()
 			if target := s.hosts[to-1]; !h.cut && !target.cut {
-				s.carry(fmt.Sprint(h.id), fmt.Sprint(to), func() { target.inbox.Offer(logMessage{message: m}) })
+				s.carry(fmt.Sprint(h.id), fmt.Sprint(to), func() { target.inbox.Offer(replica.Received{Message: m}) })
 				busy = true
 			}
 		}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -9,6 +9,7 @@
 
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/duty"
+	"cassiawood/internal/replica"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
@@ -40,13 +41,41 @@
 	}
 }
 
+// logOutput hands what the log duty decides to the apply duty and the links.
+type logOutput struct {
+	apply   *ring.Ring[applyEvent]
+	members map[uint64]*ring.Ring[changelog.Message]
+}
+
+// Committed hands entries to the apply duty.
+func (o logOutput) Committed(c replica.Committed) error {
+	_, err := o.apply.Put(applyCommitted{entries: c.Entries, snapshot: c.Snapshot})
+	return err
+}
+
+// Status tells the apply duty of a new role or contact.
+func (o logOutput) Status(s changelog.Status) error {
+	_, err := o.apply.Put(applyStatus{status: s})
+	return err
+}
+
+// ReadRefused is not used: the operators' interface confirms contact by the leader's lease.
+func (o logOutput) ReadRefused(uint64) error { return nil }
+
+// Send hands a message to the link of a member.
+func (o logOutput) Send(m changelog.Message) {
+	if link, ok := o.members[m.To]; ok {
+		link.Offer(m)
+	}
+}
+
 // linkServer accepts sessions of control and entry hosts. Each stream has a
 // reading duty of its own, which translates envelopes into events.
 type linkServer struct {
 	logger   *slog.Logger
 	listener net.Listener
 	tls      *tls.Config
-	log      *ring.Ring[logEvent]
+	log      *ring.Ring[replica.Event]
 	apply    *ring.Ring[applyEvent]
 }
 
@@ -103,7 +132,7 @@
 		if err != nil {
 			return err
 		}
-		s.log.Offer(logMessage{message: m})
+		s.log.Offer(replica.Received{Message: m})
 		return nil
 	case *wirepb.Envelope_FollowRequest:
 		*following = true
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -24,6 +24,7 @@
 	"cassiawood/internal/duty"
 	"cassiawood/internal/member"
 	"cassiawood/internal/operator"
+	"cassiawood/internal/replica"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/settings"
 	"cassiawood/internal/telemetry"
@@ -57,7 +58,7 @@
 	group    *duty.Group
 	store    *wal.Storage
 	trail    *audit.Trail
-	logInbox *ring.Ring[logEvent]
+	logInbox *ring.Ring[replica.Event]
 	storage  *ring.Ring[changelog.Ready]
 	apply    *ring.Ring[applyEvent]
 	audit    *ring.Ring[audit.Record]
@@ -75,7 +76,7 @@
 ) (*Host, error) {
 	h := &Host{
 		log: log, settings: s,
-		logInbox: ring.New[logEvent]("log-in", logInboxCapacity, ring.Block),
+		logInbox: ring.New[replica.Event]("log-in", logInboxCapacity, ring.Block),
 		storage:  ring.New[changelog.Ready]("storage-in", 1, ring.Block),
 		apply:    ring.New[applyEvent]("apply-in", applyInboxCapacity, ring.Block),
 		audit:    ring.New[audit.Record]("audit-in", auditCapacity, ring.Block),
@@ -218,8 +219,8 @@
 		link := &memberLink{log: h.log, link: wire.NewLink(m.LinkAddress.String(), config), outbox: outbox}
 		h.group.Add(duty.Duty{Name: "link to " + link.link.Address(), Run: link.run})
 	}
-	logs := &logDuty{log: h.log, node: node, storage: h.storage, apply: h.apply, members: h.members}
-	storing := &storageDuty{store: h.store, log: h.logInbox}
+	logs := replica.NewLog(h.log, node, h.storage, logOutput{apply: h.apply, members: h.members})
+	storing := replica.NewStorage(h.store, h.logInbox)
 	applying := &applyDuty{
 		log: h.log, logInbox: h.logInbox, audit: h.audit, addresses: addresses, operators: operators,
 		controlDomains: domains, domains: h.settings.FailureDomains, clock: clock,
@@ -227,8 +228,8 @@
 		confirmed: map[string]confirmation{}, waiting: map[string][]waiter{}, followers: map[*ring.Ring[*wirepb.Envelope]]*follower{},
 	}
 	server := &linkServer{logger: h.log, listener: h.listener, tls: config, log: h.logInbox, apply: h.apply}
-	h.group.Add(duty.FromRing("log", h.logInbox, logs.handle))
-	h.group.Add(duty.FromRing("storage", h.storage, storing.handle))
+	h.group.Add(duty.FromRing("log", h.logInbox, logs.Handle))
+	h.group.Add(duty.FromRing("storage", h.storage, storing.Handle))
 	h.group.Add(duty.FromRing("directory", h.apply, applying.handle))
 	h.group.Add(duty.FromRing("audit trail", h.audit, h.trail.Append))
 	h.group.Add(duty.Duty{Name: "link server", Run: server.run})
@@ -265,7 +266,7 @@
 	ticks := 0
 	return duty.Every("clock", tickInterval, func() {
 		now := clock()
-		h.logInbox.Offer(logTick{now: now})
+		h.logInbox.Offer(replica.Tick{Now: now})
 		if ticks++; ticks%applyTickEvery == 0 {
 			h.apply.Offer(applyTick{now: now})
 		}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -8,6 +8,7 @@
 	"cassiawood/internal/audit"
 	"cassiawood/internal/directory"
 	"cassiawood/internal/member"
+	"cassiawood/internal/replica"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
@@ -120,7 +121,7 @@
 		d.log.Error("command does not encode", "command", fmt.Sprintf("%T", command), "error", err)
 		return false
 	}
-	return d.logInbox.Offer(logPropose{data: data})
+	return d.logInbox.Offer(replica.Propose{Data: data})
 }
 
 // record hands a record to the audit duty.
--- a/internal/wire/log.go
+++ b/internal/wire/log.go
@@ -15,10 +15,10 @@
 		Commit: m.Commit, Reject: m.Reject, RejectHint: m.Hint, Context: m.Context,
 	}
 	for _, e := range m.Entries {
-		p.Entries = append(p.Entries, &wirepb.Entry{Index: e.Index, Term: e.Term, AtNs: int64(e.At), Command: e.Data})
+		p.Entries = append(p.Entries, &wirepb.Entry{Index: e.Index, Term: e.Term, AtNs: int64(e.At), Command: e.Data, Members: membersToProto(e.Members)})
 	}
 	if s := m.Snapshot; s != nil {
-		p.Snapshot = &wirepb.Snapshot{Index: s.Index, Term: s.Term, AtNs: int64(s.At), State: s.State}
+		p.Snapshot = &wirepb.Snapshot{Index: s.Index, Term: s.Term, AtNs: int64(s.At), State: s.State, Members: membersToProto(s.Members)}
 	}
 	return p
 }
@@ -35,13 +35,29 @@
 	}
 	for _, e := range p.GetEntries() {
 		m.Entries = append(m.Entries, changelog.Entry{
-			Index: e.GetIndex(), Term: e.GetTerm(), At: time.Duration(e.GetAtNs()), Data: e.GetCommand(),
+			Index: e.GetIndex(), Term: e.GetTerm(), At: time.Duration(e.GetAtNs()), Data: e.GetCommand(), Members: membersFromProto(e.GetMembers()),
 		})
 	}
 	if s := p.GetSnapshot(); s != nil {
 		m.Snapshot = &changelog.Snapshot{
-			Index: s.GetIndex(), Term: s.GetTerm(), At: time.Duration(s.GetAtNs()), State: s.GetState(),
+			Index: s.GetIndex(), Term: s.GetTerm(), At: time.Duration(s.GetAtNs()), State: s.GetState(), Members: membersFromProto(s.GetMembers()),
 		}
 	}
 	return m, nil
 }
+
+func membersToProto(ms changelog.Membership) []*wirepb.Member {
+	var list []*wirepb.Member
+	for _, m := range ms {
+		list = append(list, &wirepb.Member{Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: m.Voter})
+	}
+	return list
+}
+
+func membersFromProto(list []*wirepb.Member) changelog.Membership {
+	var ms changelog.Membership
+	for _, m := range list {
+		ms = append(ms, changelog.Member{ID: m.GetId(), Address: m.GetAddress(), Domain: m.GetDomain(), Voter: m.GetVoter()})
+	}
+	return ms
+}
