--- /dev/null
+++ b/cmd/cassiawood-platform-control/main.go
@@ -0,0 +1,49 @@
+// Command cassiawood-platform-control is the control host's process on the
+// users' platform: the desired state, and the backend servers that have
+// announced themselves.
+package main
+
+import (
+	"crypto/tls"
+	"log/slog"
+	"os"
+	"time"
+
+	"go.uber.org/fx"
+
+	"cassiawood/internal/cluster"
+	"cassiawood/internal/process"
+	"cassiawood/internal/settings"
+	"cassiawood/platform"
+)
+
+// stopLimit covers the answers in progress and is below the platform's shortest grace.
+const stopLimit = 3 * time.Second
+
+func main() {
+	os.Exit(process.Main(process.Daemon[cluster.Settings]{
+		Name: "cassiawood-platform-control", Purpose: "keeps desired state and backend servers on the users' platform",
+		SettingsVariable: platform.SettingsVariable, Stdout: true,
+		Load: platform.LoadControl, Log: func(cluster.Settings) settings.Log { return platform.Log }, Run: run,
+	}, os.Args[1:]))
+}
+
+func run(s cluster.Settings, log *slog.Logger, config *tls.Config) int {
+	return process.Run(log, stopLimit, func() string { return "answers in progress" },
+		fx.Supply(s), process.Common(log, config), cluster.Module,
+		fx.Invoke(func(h *cluster.Host) error {
+			calls, err := platform.ControlDuty(s.Address, h.API(), log)
+			if err != nil {
+				return err
+			}
+			h.Add(calls)
+			h.Add(process.Reload(s.File, log, func() error {
+				changed, err := platform.LoadControl(s.File)
+				if err == nil {
+					h.SetSeeds(changed.SeedAddresses())
+				}
+				return err
+			}))
+			return nil
+		}))
+}
--- /dev/null
+++ b/internal/affinity/engine.go
@@ -0,0 +1,258 @@
+package affinity
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"cassiawood/internal/routing"
+)
+
+// Config holds the settings of an engine.
+type Config struct {
+	Domain string // failure domain of this host
+	// AddressReuse is the time after which a dead endpoint's address may belong to another one.
+	Seed uint64 // of the choice between equally good endpoints
+}
+
+// goneGrace is the time for which packets still go to an endpoint that has said
+// farewell, since it may handle them before it exits.
+const goneGrace = time.Second
+
+// Engine decides about packets. It is used by one goroutine.
+type Engine struct {
+	cfg     Config
+	version uint64
+	idle    time.Duration
+	routes  map[netip.AddrPort]*route
+	byToken map[uint32]*endpoint
+	byID    map[uint64]*endpoint
+	service map[string][]*endpoint       // by service, ordered by ID
+	address map[netip.AddrPort]*endpoint // newest incarnation at an address
+	flows   map[flowKey]*flow
+	oldest  *flow // in the order of the last packet
+	newest  *flow
+	picks   uint64
+}
+
+// route is a compiled route.
+type route struct {
+	shares  []routing.Share
+	total   uint64
+	allowed []string // services of this and earlier versions
+}
+
+// endpoint is an endpoint and what this host has seen of it.
+type endpoint struct {
+	Endpoint
+	token    uint32
+	goneAt   time.Duration
+	replaced bool // a newer incarnation has its address
+	collides bool // an endpoint with a lower ID has the same token
+	open     int  // flows that this host has seen lately
+	evidence evidence
+}
+
+// flowKey identifies a flow.
+type flowKey struct{ caller, service netip.AddrPort }
+
+// flow is what this host remembers of a flow.
+type flow struct {
+	key      flowKey
+	seq      uint32 // of the first packet
+	endpoint *endpoint
+	tried    []*endpoint // endpoints that got the first packet; nil when it did not pass here
+	answered bool        // a packet with a token has passed
+	began    time.Duration
+	last     time.Duration
+	lastSeq  uint32
+	lastAck  uint32
+	repeats  int
+	before   *flow
+	after    *flow
+}
+
+// New returns an engine without routes and endpoints.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg: cfg, idle: defaultIdle, routes: map[netip.AddrPort]*route{}, byToken: map[uint32]*endpoint{},
+		byID: map[uint64]*endpoint{}, service: map[string][]*endpoint{}, address: map[netip.AddrPort]*endpoint{},
+		flows: map[flowKey]*flow{},
+	}
+}
+
+// Version returns the version of the routes in force, 0 before the first ones.
+func (e *Engine) Version() uint64 { return e.version }
+
+// Endpoints returns the number of known endpoints that have not ended.
+func (e *Engine) Endpoints() int {
+	count := 0
+	for _, ep := range e.byID {
+		if !ep.Gone {
+			count++
+		}
+	}
+	return count
+}
+
+// Flows returns the number of flows that are remembered.
+func (e *Engine) Flows() int { return len(e.flows) }
+
+// SetRoutes puts a table in force unless a newer one is. Open flows stay where
+// they are as long as their route exists.
+func (e *Engine) SetRoutes(t routing.Table) bool {
+	if t.Version <= e.version {
+		return false
+	}
+	routes := make(map[netip.AddrPort]*route, len(t.Routes))
+	for _, r := range t.Routes {
+		compiled := &route{shares: r.Shares, allowed: slices.Clone(r.Former)}
+		if old := e.routes[r.Address]; old != nil {
+			compiled.allowed = append(compiled.allowed, old.allowed...)
+		}
+		for _, s := range r.Shares {
+			compiled.total += uint64(s.Weight)
+			compiled.allowed = append(compiled.allowed, s.Service)
+		}
+		slices.Sort(compiled.allowed)
+		compiled.allowed = slices.Compact(compiled.allowed)
+		routes[r.Address] = compiled
+	}
+	e.version, e.routes = t.Version, routes
+	if t.IdleTimeout > 0 {
+		e.idle = t.IdleTimeout
+	}
+	return true
+}
+
+// Upsert adds an endpoint or takes over its new state.
+func (e *Engine) Upsert(now time.Duration, s Endpoint) {
+	ep := e.byID[s.ID]
+	if ep == nil {
+		ep = &endpoint{Endpoint: s, token: Token(s.ID), goneAt: -1}
+		e.byID[s.ID] = ep
+		e.addToken(ep)
+	} else {
+		if s.Born < ep.Born {
+			return
+		}
+		if s.Born > ep.Born {
+			ep.evidence, ep.goneAt, ep.replaced = evidence{}, -1, false
+		}
+		e.removeFromService(ep)
+		ep.Endpoint = s
+	}
+	if ep.Gone && ep.goneAt < 0 {
+		ep.goneAt = now
+	}
+	e.service[ep.Service] = append(e.service[ep.Service], ep)
+	slices.SortFunc(e.service[ep.Service], byID)
+	e.claimAddress(now, ep)
+}
+
+func byID(a, b *endpoint) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+// addToken makes the endpoint findable by its token. Of two endpoints with the
+// same token only the one with the lower ID is used, on every host.
+func (e *Engine) addToken(ep *endpoint) {
+	other := e.byToken[ep.token]
+	switch {
+	case other == nil:
+		e.byToken[ep.token] = ep
+	case other.ID < ep.ID:
+		ep.collides = true
+	default:
+		other.collides, e.byToken[ep.token] = true, ep
+	}
+}
+
+// claimAddress notes which incarnation has an address. An older one there has ended.
+func (e *Engine) claimAddress(now time.Duration, ep *endpoint) {
+	holder := e.address[ep.Address]
+	if holder == nil || holder == ep || holder.Born <= ep.Born {
+		if holder != nil && holder != ep && holder.Born < ep.Born {
+			holder.replaced = true
+			if holder.goneAt < 0 {
+				holder.goneAt = now
+			}
+		}
+		e.address[ep.Address] = ep
+		return
+	}
+	ep.replaced = true
+	if ep.goneAt < 0 {
+		ep.goneAt = now
+	}
+}
+
+func (e *Engine) removeFromService(ep *endpoint) {
+	e.service[ep.Service] = slices.DeleteFunc(e.service[ep.Service], func(o *endpoint) bool { return o == ep })
+}
+
+// Remove forgets an endpoint.
+func (e *Engine) Remove(id uint64) {
+	ep := e.byID[id]
+	if ep == nil {
+		return
+	}
+	delete(e.byID, id)
+	e.removeFromService(ep)
+	if e.byToken[ep.token] == ep {
+		delete(e.byToken, ep.token)
+	}
+	if e.address[ep.Address] == ep {
+		delete(e.address, ep.Address)
+	}
+	ep.Gone, ep.goneAt = true, 0
+}
+
+// hasEnded reports whether nothing can come of packets to the endpoint any more.
+func (ep *endpoint) hasEnded(now time.Duration) bool {
+	return (ep.Gone || ep.replaced) && ep.goneAt >= 0 && now-ep.goneAt >= goneGrace
+}
+
+// Decide decides about a packet of a caller.
+func (e *Engine) Decide(now time.Duration, p Packet) Decision {
+	r := e.routes[p.Service]
+	if r == nil {
+		return refuse(p, NoRoute)
+	}
+	if p.Flags&SYN != 0 {
+		return e.decideFirst(now, p, r)
+	}
+	return e.decideLater(now, p, r)
+}
+
+// refuse resets the flow, but does not answer a reset.
+func refuse(p Packet, reason Reason) Decision {
+	if p.Flags&RST != 0 {
+		return Decision{Verdict: Drop, Reason: CallerReset}
+	}
+	return Decision{Verdict: Reset, Reason: reason}
+}
+
+// decideLater routes a packet by its token.
+func (e *Engine) decideLater(now time.Duration, p Packet, r *route) Decision {
+	ep := e.byToken[p.Token]
+	f := e.flows[flowKey{p.Caller, p.Service}]
+	if f != nil && f.answered && f.endpoint != ep && len(f.tried) > 1 && slices.Contains(f.tried, ep) {
+		// Two endpoints have answered copies of the first packet. The caller repeats
+		// the token of the last answer, but the flow is open where it was acknowledged first.
+		ep = f.endpoint
+	}
+	switch {
+	case ep == nil:
+		return Decision{Verdict: Drop, Reason: UnknownToken}
+	case !slices.Contains(r.allowed, ep.Service):
+		return Decision{Verdict: Drop, Reason: ForeignToken}
+	case ep.hasEnded(now):
+		return refuse(p, EndpointGone)
+	}
+	e.noteLater(now, p, f, ep)
+	return Decision{Verdict: Forward, Reason: ByToken, Endpoint: &ep.Endpoint, Token: ep.token}
+}
--- /dev/null
+++ b/internal/affinity/flows.go
@@ -0,0 +1,131 @@
+package affinity
+
+import "time"
+
+const (
+	// defaultIdle is used until a table names the time after which a flow without
+	// packets may be forgotten.
+	defaultIdle = 15 * time.Second
+	// maxFlows bounds the memory of flows; the ones without packets for longest go first.
+	maxFlows = 1 << 16
+	// suspectFor is how long an endpoint that has not answered gets no new flow
+	// while others can take it. After it one flow tries it again.
+	suspectFor = 2 * time.Second
+	// suspectAfter failures without an answer between them make an endpoint suspect.
+	suspectAfter = 2
+)
+
+// evidence is what packets of callers tell about an endpoint.
+type evidence struct {
+	failures int // since the last sign of life
+	until    time.Duration
+}
+
+// noAnswer notes that a caller has repeated a packet.
+func (v *evidence) noAnswer(now time.Duration) {
+	if v.failures++; v.failures >= suspectAfter {
+		v.until = now + suspectFor
+	}
+}
+
+// answered notes that a caller has acknowledged something from the endpoint.
+func (v *evidence) answered() { *v = evidence{} }
+
+func (v *evidence) suspect(now time.Duration) bool { return now < v.until }
+
+// noteLater keeps count of the flow and reads the signs of life that the packet carries.
+func (e *Engine) noteLater(now time.Duration, p Packet, f *flow, ep *endpoint) {
+	if f == nil {
+		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, answered: true, began: now, last: now, lastSeq: p.Seq, lastAck: p.Ack}
+		e.add(f)
+	} else {
+		e.observe(now, p, f, ep)
+	}
+	if p.Flags&(FIN|RST) != 0 {
+		e.drop(f)
+		return
+	}
+	e.touch(now, f)
+}
+
+func (e *Engine) observe(now time.Duration, p Packet, f *flow, ep *endpoint) {
+	if f.endpoint != ep {
+		e.reassign(f, ep)
+	}
+	switch {
+	case !f.answered || p.Ack != f.lastAck:
+		f.answered, f.repeats = true, 0
+		ep.evidence.answered()
+	case p.Length > 0 && p.Seq == f.lastSeq:
+		// The caller repeats data that the endpoint has not acknowledged.
+		if f.repeats++; f.repeats == 1 {
+			ep.evidence.noAnswer(now)
+		}
+	}
+	f.lastAck = p.Ack
+	if p.Length > 0 {
+		f.lastSeq = p.Seq
+	}
+}
+
+func (e *Engine) add(f *flow) {
+	for len(e.flows) >= maxFlows {
+		e.drop(e.oldest)
+	}
+	e.flows[f.key] = f
+	f.endpoint.open++
+	e.append(f)
+}
+
+// reassign moves the count of a flow to the endpoint that it really has.
+func (e *Engine) reassign(f *flow, ep *endpoint) {
+	f.endpoint.open--
+	ep.open++
+	f.endpoint = ep
+}
+
+func (e *Engine) drop(f *flow) {
+	e.unlink(f)
+	delete(e.flows, f.key)
+	f.endpoint.open--
+}
+
+// touch moves a flow to the end of the list.
+func (e *Engine) touch(now time.Duration, f *flow) {
+	f.last = now
+	if e.newest != f {
+		e.unlink(f)
+		e.append(f)
+	}
+}
+
+func (e *Engine) append(f *flow) {
+	f.before, f.after = e.newest, nil
+	if e.newest != nil {
+		e.newest.after = f
+	} else {
+		e.oldest = f
+	}
+	e.newest = f
+}
+
+func (e *Engine) unlink(f *flow) {
+	if f.before != nil {
+		f.before.after = f.after
+	} else {
+		e.oldest = f.after
+	}
+	if f.after != nil {
+		f.after.before = f.before
+	} else {
+		e.newest = f.before
+	}
+	f.before, f.after = nil, nil
+}
+
+// Tick forgets the flows that have been idle for too long.
+func (e *Engine) Tick(now time.Duration) {
+	for e.oldest != nil && now-e.oldest.last >= e.idle {
+		e.drop(e.oldest)
+	}
+}
--- /dev/null
+++ b/internal/affinity/place.go
@@ -0,0 +1,121 @@
+package affinity
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiawood/internal/routing"
+)
+
+const (
+	// foreignDomainFactor is how much more load an endpoint of the own failure
+	// domain may have before one of another is preferred. Links between failure
+	// domains cost money and add their delay to each packet.
+	foreignDomainFactor = 2.0
+	// coldFactor weighs an endpoint that has just started, which is slow.
+	coldFactor = 1.6
+	// Penalties order endpoints that may not answer behind all others.
+	silentPenalty  = 1e6
+	suspectPenalty = 1e3
+)
+
+// decideFirst places a new flow, or a copy of the first packet of one.
+func (e *Engine) decideFirst(now time.Duration, p Packet, r *route) Decision {
+	key := flowKey{p.Caller, p.Service}
+	f := e.flows[key]
+	if f != nil && f.tried != nil && f.seq == p.Seq {
+		return e.decideCopy(now, f, r)
+	}
+	service := e.pickService(p, r)
+	ep := e.choose(now, service, nil)
+	if ep == nil {
+		return refuse(p, NoEndpoint)
+	}
+	if f != nil {
+		e.drop(f)
+	}
+	f = &flow{key: key, seq: p.Seq, endpoint: ep, tried: []*endpoint{ep}, began: now, last: now}
+	e.add(f)
+	return Decision{Verdict: Forward, Reason: Placed, Endpoint: &ep.Endpoint, Token: ep.token}
+}
+
+// decideCopy handles a copy of the first packet. A caller sends one when no
+// answer has come for longer than any round trip takes, so the endpoint is
+// dead, full or out of reach, unless a packet was lost.
+func (e *Engine) decideCopy(now time.Duration, f *flow, r *route) Decision {
+	if !f.answered {
+		f.endpoint.evidence.noAnswer(now)
+		if ep := e.choose(now, f.endpoint.Service, f.tried); ep != nil {
+			e.reassign(f, ep)
+			f.tried = append(f.tried, ep)
+			return Decision{Verdict: Forward, Reason: Moved, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.began}
+		}
+	}
+	ep := f.endpoint
+	return Decision{Verdict: Forward, Reason: Repeated, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.began}
+}
+
+// pickService divides new flows over the services of a route by weight. Copies
+// of a first packet get the same service on every host.
+func (e *Engine) pickService(p Packet, r *route) string {
+	if len(r.shares) == 1 || r.total == 0 {
+		return r.shares[0].Service
+	}
+	var b [22]byte
+	address := p.Caller.Addr().As16()
+	copy(b[:], address[:])
+	b[16], b[17] = byte(p.Caller.Port()), byte(p.Caller.Port()>>8)
+	b[18], b[19], b[20], b[21] = byte(p.Seq), byte(p.Seq>>8), byte(p.Seq>>16), byte(p.Seq>>24)
+	at := xxhash.Sum64(b[:]) % r.total
+	return serviceAt(r.shares, at)
+}
+
+func serviceAt(shares []routing.Share, at uint64) string {
+	for _, s := range shares {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return shares[0].Service
+}
+
+// choose returns the endpoint with the lowest cost, or nil if there is none.
+func (e *Engine) choose(now time.Duration, service string, except []*endpoint) *endpoint {
+	var best *endpoint
+	var lowest float64
+	candidates := e.service[service]
+	e.picks++
+	for i := range candidates {
+		// The start changes with each choice, so that equally good endpoints take turns.
+		ep := candidates[(uint64(i)+e.picks)%uint64(len(candidates))]
+		if !ep.Accepts || ep.Gone || ep.replaced || ep.collides || slices.Contains(except, ep) {
+			continue
+		}
+		if cost := e.cost(now, ep); best == nil || cost < lowest {
+			best, lowest = ep, cost
+		}
+	}
+	return best
+}
+
+// cost is the load that the endpoint would have with one more flow, weighted by
+// what else speaks against it.
+func (e *Engine) cost(now time.Duration, ep *endpoint) float64 {
+	cost := (float64(ep.open) + 1) / float64(max(ep.Slots, 1))
+	if ep.Domain != e.cfg.Domain {
+		cost *= foreignDomainFactor
+	}
+	if now < ep.ColdTill {
+		cost *= coldFactor
+	}
+	if ep.evidence.suspect(now) {
+		cost += suspectPenalty
+	}
+	if ep.Silent {
+		cost += silentPenalty
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/cluster/events.go
@@ -0,0 +1,85 @@
+package cluster
+
+import (
+	"time"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/registry"
+	"cassiawood/internal/replica"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/routing"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// event is a value in the inbox of the state duty.
+type event interface{ isEvent() }
+
+type (
+	tick struct{}
+	// committed and statusChanged come from the log duty.
+	committed     struct{ replica.Committed }
+	statusChanged struct{ status changelog.Status }
+	readRefused   struct{ context uint64 }
+	// reported, putDesired and getDesired come from front ends.
+	reported struct {
+		endpoint registry.Endpoint
+		coldFor  time.Duration
+		reply    *ring.Ring[answer]
+	}
+	putDesired struct {
+		desired routing.Desired
+		reply   *ring.Ring[answer]
+	}
+	getDesired struct{ reply *ring.Ring[answer] }
+	// follow and unfollow come from streams of entry hosts.
+	follow struct {
+		host, domain string
+		out          *ring.Ring[*wirepb.Envelope]
+	}
+	unfollow struct{ out *ring.Ring[*wirepb.Envelope] }
+	// peerUpdate and joinRequest come from other control hosts.
+	peerUpdate  struct{ update *wirepb.EndpointUpdate }
+	joinRequest struct{ member changelog.Member }
+	// seedsChanged comes from the settings file.
+	seedsChanged struct{ seeds []string }
+)
+
+func (tick) isEvent()          {}
+func (committed) isEvent()     {}
+func (statusChanged) isEvent() {}
+func (readRefused) isEvent()   {}
+func (reported) isEvent()      {}
+func (putDesired) isEvent()    {}
+func (getDesired) isEvent()    {}
+func (follow) isEvent()        {}
+func (unfollow) isEvent()      {}
+func (peerUpdate) isEvent()    {}
+func (joinRequest) isEvent()   {}
+func (seedsChanged) isEvent()  {}
+
+// logOutput hands what the log duty decides to the state duty and the links.
+type logOutput struct {
+	state *ring.Ring[event]
+	links *ring.Ring[linkEvent]
+}
+
+// Committed hands entries and confirmed reads to the state duty.
+func (o logOutput) Committed(c replica.Committed) error {
+	_, err := o.state.Put(committed{c})
+	return err
+}
+
+// Status tells the state duty of a new role, contact or membership.
+func (o logOutput) Status(s changelog.Status) error {
+	_, err := o.state.Put(statusChanged{status: s})
+	return err
+}
+
+// ReadRefused tells the state duty that this host cannot confirm a read.
+func (o logOutput) ReadRefused(context uint64) error {
+	_, err := o.state.Put(readRefused{context: context})
+	return err
+}
+
+// Send hands a message to the links.
+func (o logOutput) Send(m changelog.Message) { o.links.Offer(sendMessage{message: m}) }
--- /dev/null
+++ b/internal/cluster/links.go
@@ -0,0 +1,220 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/replica"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// linkEvent is a value in the inbox of the links duty.
+type linkEvent interface{ isLinkEvent() }
+
+type (
+	// setMembers names the members of the log, to which links are kept.
+	setMembers  struct{ members changelog.Membership }
+	sendMessage struct{ message changelog.Message }
+	// sendTo sends to one control host, whether it is a member or not.
+	sendTo struct {
+		address  string
+		envelope *wirepb.Envelope
+	}
+	broadcast struct{ envelope *wirepb.Envelope } // to all members but this one
+)
+
+func (setMembers) isLinkEvent()  {}
+func (sendMessage) isLinkEvent() {}
+func (sendTo) isLinkEvent()      {}
+func (broadcast) isLinkEvent()   {}
+
+// linksDuty owns the outboxes of the links to other control hosts. Each link
+// has a goroutine of its own, since dialling and writing may wait.
+type linksDuty struct {
+	log      *slog.Logger
+	settings Settings
+	self     uint64
+	members  changelog.Membership
+	outboxes map[string]*ring.Ring[*wirepb.Envelope] // by address of the control host
+	ctx      context.Context
+}
+
+// outboxCapacity bounds what waits for a slow link. The protocol repeats what is lost.
+const outboxCapacity = 512
+
+func (d *linksDuty) handle(e linkEvent) error {
+	switch e := e.(type) {
+	case setMembers:
+		d.setMembers(e.members)
+	case sendMessage:
+		if m, ok := d.members.Find(e.message.To); ok {
+			d.send(m.Address, &wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(e.message)}})
+		}
+	case sendTo:
+		d.send(e.address, e.envelope)
+	case broadcast:
+		for _, m := range d.members {
+			if m.ID != d.self {
+				d.send(m.Address, e.envelope)
+			}
+		}
+	}
+	return nil
+}
+
+// setMembers ends the links to hosts that are no members any more.
+func (d *linksDuty) setMembers(members changelog.Membership) {
+	d.members = members
+	wanted := map[string]bool{}
+	for _, m := range members {
+		wanted[m.Address] = true
+	}
+	for address, outbox := range d.outboxes {
+		if !wanted[address] {
+			outbox.Close()
+			delete(d.outboxes, address)
+		}
+	}
+}
+
+func (d *linksDuty) send(address string, e *wirepb.Envelope) {
+	outbox := d.outboxes[address]
+	if outbox == nil {
+		target, err := d.settings.link(address)
+		if err != nil {
+			d.log.Warn("no link to control host", "address", address, "error", err)
+			return
+		}
+		outbox = ring.New[*wirepb.Envelope]("link-out", outboxCapacity, ring.DropOldest)
+		d.outboxes[address] = outbox
+		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), link: wire.NewLink(target, nil), outbox: outbox}
+		go l.run(d.ctx)
+	}
+	outbox.Offer(e)
+}
+
+func (d *linksDuty) close() {
+	for _, outbox := range d.outboxes {
+		outbox.Close()
+	}
+}
+
+// link sends envelopes to one control host until its outbox is closed.
+type link struct {
+	log       *slog.Logger
+	peer      string
+	self      string
+	link      *wire.Link
+	outbox    *ring.Ring[*wirepb.Envelope]
+	connected bool
+	lost      bool // the loss was logged
+}
+
+func (l *link) run(ctx context.Context) {
+	defer l.link.Close()
+	for {
+		e, err := l.outbox.Get()
+		if err != nil {
+			return
+		}
+		l.send(ctx, e)
+	}
+}
+
+// send sends one envelope. After it has connected anew it first asks the peer for all
+// endpoints, since updates may have been lost in between.
+func (l *link) send(ctx context.Context, e *wirepb.Envelope) {
+	if !l.link.Connected() {
+		l.connected = false
+	}
+	err := l.link.Send(ctx, e)
+	if err == nil && !l.connected {
+		l.connected, l.lost = true, false
+		l.log.Info("link to control host established", "peer", l.peer)
+		err = l.link.Send(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{
+			EndpointUpdate: &wirepb.EndpointUpdate{RequestAll: true, From: l.self},
+		}})
+	}
+	if err != nil && !l.lost {
+		l.connected, l.lost = false, true
+		l.log.Warn("link to control host lost", "peer", l.peer, "error", err)
+	}
+}
+
+// linkServer accepts sessions of control and entry hosts.
+type linkServer struct {
+	logger   *slog.Logger
+	listener net.Listener
+	log      *ring.Ring[replica.Event]
+	state    *ring.Ring[event]
+}
+
+func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
+	return wire.AcceptSessions(ctx, s.logger, s.listener, nil, func(session *wire.Session) {
+		for {
+			stream, err := session.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(stream)
+		}
+	})
+}
+
+// followerCapacity bounds the updates that wait for one entry host.
+const followerCapacity = 64
+
+// serve reads one stream until it ends.
+func (s *linkServer) serve(stream *wire.Stream) {
+	defer func() { _ = stream.Close() }()
+	out := ring.New[*wirepb.Envelope]("follower-out", followerCapacity, ring.DropNewest)
+	defer out.Close()
+	following := false
+	for {
+		envelope, err := stream.Receive()
+		if err == nil {
+			err = s.dispatch(envelope, out, stream, &following)
+		}
+		if err != nil {
+			s.logger.Debug("stream ended", "reason", err)
+			if following {
+				_, _ = s.state.Put(unfollow{out: out}) // fails only while the process stops
+			}
+			return
+		}
+	}
+}
+
+func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[*wirepb.Envelope], stream *wire.Stream, following *bool) error {
+	var err error
+	switch body := e.GetBody().(type) {
+	case *wirepb.Envelope_LogMessage:
+		m, err := wire.LogMessageFromProto(body.LogMessage)
+		if err != nil {
+			return err
+		}
+		s.log.Offer(replica.Received{Message: m})
+		return nil
+	case *wirepb.Envelope_EndpointUpdate:
+		_, err = s.state.Put(peerUpdate{update: body.EndpointUpdate})
+	case *wirepb.Envelope_JoinRequest:
+		j := body.JoinRequest
+		_, err = s.state.Put(joinRequest{member: changelog.Member{ID: j.GetId(), Address: j.GetAddress(), Domain: j.GetDomain()}})
+	case *wirepb.Envelope_EdgeFollow:
+		if !*following {
+			*following = true
+			go wire.Drain(out, stream)
+		}
+		f := body.EdgeFollow
+		_, err = s.state.Put(follow{host: f.GetHost(), domain: f.GetDomain(), out: out})
+	default:
+		err = fmt.Errorf("unexpected envelope %T", body)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/cluster/module.go
@@ -0,0 +1,292 @@
+// Package cluster holds the duties of a control host whose cluster changes its
+// membership by itself: the replicated log, the desired state, the registry of
+// backend servers, and the links to other hosts.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/changelog/wal"
+	"cassiawood/internal/duty"
+	"cassiawood/internal/registry"
+	"cassiawood/internal/replica"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/routing"
+	"cassiawood/internal/telemetry"
+	"cassiawood/internal/voters"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	logInboxCapacity   = 4096
+	stateInboxCapacity = 4096
+	linksInboxCapacity = 4096
+	// tickInterval is a quarter of the heartbeat of the log.
+	tickInterval = 25 * time.Millisecond
+	// stateTickEvery lets the state duty tick every 100 ms.
+	stateTickEvery = 4
+	// The election timeouts are above the 200 ms for which TCP holds up a link after a loss.
+	electionMin = 500 * time.Millisecond
+	electionMax = time.Second
+	heartbeat   = 100 * time.Millisecond
+	// keepEntries is small because each entry holds a whole desired state.
+	keepEntries = 16
+	// handlerLimit is above the stall of a disk that comes back.
+	handlerLimit = time.Minute
+	// openRetry is the pause before a data folder that cannot be opened is tried again.
+	openRetry = 250 * time.Millisecond
+	// openLimit bounds these tries; a full or stalled disk recovers within seconds.
+	openLimit = 20 * time.Second
+
+	// silentReports is how many reports of a backend server may be missing before it
+	// gets no new flows; silentSlack covers the delay of a report that is tried at a second host.
+	silentReports = 2
+	silentSlack   = 200 * time.Millisecond
+
+	endpointsName = "endpoints"
+	endpointsTemp = "endpoints.tmp"
+)
+
+// Policy of the membership. replaceAfter is above the restart of a process, which takes a second or two.
+const (
+	replaceAfter = 3 * time.Second
+	removeAfter  = time.Minute
+	maxLag       = 16
+)
+
+// Host is the running process.
+type Host struct {
+	log       *slog.Logger
+	settings  Settings
+	group     *duty.Group
+	store     *wal.Storage
+	logInbox  *ring.Ring[replica.Event]
+	storage   *ring.Ring[changelog.Ready]
+	state     *ring.Ring[event]
+	links     *ring.Ring[linkEvent]
+	files     *ring.Ring[[]byte]
+	linksDuty *linksDuty
+	listener  net.Listener
+	stopLinks context.CancelFunc
+}
+
+// Module provides a *Host for fx. It needs Settings, *slog.Logger and metrics.Registry.
+var Module = fx.Module("cluster", fx.Provide(newHost), fx.Invoke(register))
+
+type counters struct {
+	reports metrics.Counter
+	commit  metrics.Histogram // microseconds from an operator's change to its acknowledgement
+}
+
+func newHost(s Settings, log *slog.Logger, registry metrics.Registry, shutdown fx.Shutdowner) (*Host, error) {
+	h := &Host{
+		log: log, settings: s,
+		logInbox: ring.New[replica.Event]("log-in", logInboxCapacity, ring.Block),
+		storage:  ring.New[changelog.Ready]("storage-in", 1, ring.Block),
+		state:    ring.New[event]("state-in", stateInboxCapacity, ring.Block),
+		links:    ring.New[linkEvent]("links-in", linksInboxCapacity, ring.DropOldest),
+		files:    ring.New[[]byte]("files-in", 1, ring.DropOldest),
+	}
+	telemetry.RegisterRing(registry, h.logInbox)
+	telemetry.RegisterRing(registry, h.storage)
+	telemetry.RegisterRing(registry, h.state)
+	telemetry.RegisterRing(registry, h.links)
+	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
+	clock := newClock()
+	id, node, routes, err := h.openData(clock)
+	if err != nil {
+		return nil, err
+	}
+	linkAddress, err := s.link(s.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	if h.listener, err = net.Listen("tcp", linkAddress); err != nil {
+		return nil, fmt.Errorf("link address: %w", err)
+	}
+	h.addDuties(id, node, routes, clock, newCounters(registry))
+	pages, err := telemetry.NewServer(s.Telemetry.String(), registry, nil)
+	if err != nil {
+		return nil, err
+	}
+	h.group.Add(pages.Duty())
+	return h, nil
+}
+
+func newCounters(registry metrics.Registry) *counters {
+	const reservoir = 1028 // the default of the metrics library
+	return &counters{
+		reports: metrics.NewRegisteredCounter("endpoint.reports", registry),
+		commit:  metrics.NewRegisteredHistogram("desired.commit.microseconds", registry, metrics.NewExpDecaySample(reservoir, 0.015)),
+	}
+}
+
+// API returns the questions that front ends may ask.
+func (h *Host) API() API { return API{inbox: h.state} }
+
+// Add adds a duty of a front end. It must be called before the start.
+func (h *Host) Add(d duty.Duty) { h.group.Add(d) }
+
+// SetSeeds takes over changed seeds.
+func (h *Host) SetSeeds(seeds []string) { h.state.Offer(seedsChanged{seeds: seeds}) }
+
+// newClock returns a steady clock in time since the Unix epoch.
+func newClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+}
+
+// openData reads the data folder, trying again while the disk takes no writes.
+func (h *Host) openData(clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
+	deadline := clock() + openLimit
+	for {
+		id, node, routes, err := h.tryOpenData(clock)
+		if err == nil || clock() >= deadline {
+			return id, node, routes, err
+		}
+		h.log.Warn("data folder cannot be opened yet", "error", err)
+		time.Sleep(openRetry)
+	}
+}
+
+func (h *Host) tryOpenData(clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
+	fail := func(err error) (identity, *changelog.Node, *routing.State, error) { return identity{}, nil, nil, err }
+	id, err := loadIdentity(h.settings, h.log)
+	if err != nil {
+		return fail(err)
+	}
+	folder, err := wal.NewDir(filepath.Join(h.settings.DataFolder, logFolder))
+	if err != nil {
+		return fail(fmt.Errorf("dataFolder: %w", err))
+	}
+	store, recovered, err := wal.Open(folder)
+	var corrupt *wal.CorruptError
+	if errors.As(err, &corrupt) {
+		h.log.Error("log is corrupt, the disk counts as lost", "error", err)
+		if err := os.Remove(filepath.Join(h.settings.DataFolder, identityName)); err != nil {
+			return fail(err)
+		}
+		return fail(corrupt)
+	}
+	if err != nil {
+		return fail(fmt.Errorf("open the log: %w", err))
+	}
+	if recovered.TornBytes > 0 {
+		h.log.Warn("torn record removed", "file", recovered.TornFile, "bytes", recovered.TornBytes)
+	}
+	routes := routing.NewState()
+	if recovered.Snapshot.Index > 0 {
+		if routes, err = wire.DecodeRoutingState(recovered.Snapshot.State); err != nil {
+			return fail(errors.Join(err, store.Close()))
+		}
+	}
+	node, err := changelog.New(changelog.Config{
+		ID: id.ID, Dynamic: true, Initial: id.Initial, Seed: id.ID ^ uint64(clock()), KeepEntries: keepEntries,
+		ElectionMin: electionMin, ElectionMax: electionMax, Heartbeat: heartbeat,
+	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
+	if err != nil {
+		return fail(errors.Join(fmt.Errorf("start the log: %w", err), store.Close()))
+	}
+	h.store = store
+	h.log.Info("data folder opened", "id", id.ID, "lastIndex", node.Status().LastIndex, "term", node.Status().Term,
+		"snapshotVersion", routes.Desired().Version, "members", fmt.Sprint(node.Status().Members))
+	return id, node, routes, nil
+}
+
+func (h *Host) addDuties(id identity, node *changelog.Node, routes *routing.State, clock func() time.Duration, m *counters) {
+	s := h.settings
+	self := changelog.Member{ID: id.ID, Address: s.Address.String(), Domain: s.Domain}
+	state := &stateDuty{
+		log: h.log, settings: s, self: self, clock: clock, logInbox: h.logInbox, links: h.links, files: h.files, metrics: m,
+		policy: voters.Policy{
+			Voters: 2*s.Tolerated + 1, ReplaceAfter: replaceAfter, RemoveAfter: removeAfter, ContactAge: contactAge, Lag: maxLag,
+		},
+		routes: routes, index: node.Status().Applied, compacted: node.Status().Applied, registry: h.openRegistry(clock()), seeds: s.SeedAddresses(),
+		followers: map[*ring.Ring[*wirepb.Envelope]]*follower{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{},
+		status: changelog.Status{LastContact: -1},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stopLinks = cancel
+	h.linksDuty = &linksDuty{
+		log: h.log, settings: s, self: id.ID, outboxes: map[string]*ring.Ring[*wirepb.Envelope]{}, ctx: ctx,
+	}
+	server := &linkServer{logger: h.log, listener: h.listener, log: h.logInbox, state: h.state}
+	h.group.Add(duty.FromRing("log", h.logInbox, replica.NewLog(h.log, node, h.storage, logOutput{state: h.state, links: h.links}).Handle))
+	h.group.Add(duty.FromRing("storage", h.storage, replica.NewStorage(h.store, h.logInbox).Handle))
+	h.group.Add(duty.FromRing("state", h.state, state.handle))
+	h.group.Add(duty.FromRing("links", h.links, h.linksDuty.handle))
+	h.group.Add(duty.FromRing("endpoint file", h.files, h.writeEndpoints))
+	h.group.Add(duty.Duty{Name: "link server", Run: server.run})
+	ticks := 0
+	h.group.Add(duty.Every("clock", tickInterval, func() {
+		h.logInbox.Offer(replica.Tick{Now: clock()})
+		if ticks++; ticks%stateTickEvery == 0 {
+			h.state.Offer(tick{})
+		}
+	}))
+}
+
+// openRegistry reads the saved registry. A file that is absent or damaged means an
+// empty one, which the other hosts and the reports fill.
+func (h *Host) openRegistry(now time.Duration) *registry.Registry {
+	s := h.settings
+	r := registry.New(registry.Limits{Silent: silentReports*s.ReportInterval + silentSlack, Forget: s.FlowMax})
+	data, err := os.ReadFile(filepath.Join(s.DataFolder, endpointsName))
+	if errors.Is(err, os.ErrNotExist) {
+		return r
+	}
+	if err == nil {
+		err = loadRegistry(r, data, now)
+	}
+	if err != nil {
+		h.log.Warn("saved endpoints cannot be read", "error", err)
+	}
+	h.log.Info("saved endpoints read", "endpoints", r.Len())
+	return r
+}
+
+// writeEndpoints replaces the saved registry. A disk that takes no writes costs
+// only a slower start, so the error is logged and borne.
+func (h *Host) writeEndpoints(data []byte) error {
+	if err := replaceFile(h.settings.DataFolder, endpointsName, endpointsTemp, data); err != nil {
+		h.log.Warn("endpoints not saved", "error", err)
+	}
+	return nil
+}
+
+func register(lifecycle fx.Lifecycle, h *Host) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			h.group.Start()
+			h.log.Info("control host started", "host", h.settings.Host, "domain", h.settings.Domain, "address", h.settings.Address,
+				"firstStart", h.settings.FirstStart, "seeds", fmt.Sprint(h.settings.Seeds))
+			return nil
+		},
+		OnStop: h.stop,
+	})
+}
+
+func (h *Host) stop(ctx context.Context) error {
+	h.group.BeginStop()
+	h.stopLinks()
+	h.state.Close()
+	h.logInbox.Close()
+	h.storage.Close()
+	h.links.Close()
+	h.files.Close()
+	err := h.group.Stop(ctx)
+	h.linksDuty.close()
+	return errors.Join(err, h.store.Close())
+}
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -98,7 +98,7 @@
 	defer func() { _ = stream.Close() }()
 	out := ring.New[*wirepb.Envelope]("stream-out", streamOutboxCapacity, ring.DropNewest)
 	defer out.Close()
-	go writeStream(stream, out)
+	go wire.Drain(out, stream)
 	following := false
 	for {
 		envelope, err := stream.Receive()
@@ -115,16 +115,6 @@
 	}
 }
 
-func writeStream(stream *wire.Stream, out *ring.Ring[*wirepb.Envelope]) {
-	defer func() { _ = stream.Close() }()
-	for {
-		envelope, err := out.Get()
-		if err != nil || stream.Send(envelope) != nil {
-			return
-		}
-	}
-}
-
 func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[*wirepb.Envelope], following *bool) error {
 	switch body := e.GetBody().(type) {
 	case *wirepb.Envelope_LogMessage:
--- /dev/null
+++ b/internal/edge/engine.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"log/slog"
+	"time"
+
+	"cassiawood/internal/affinity"
+	"cassiawood/internal/registry"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	// unconfirmedAfter is how long a host that has started waits for a state that a
+	// majority confirms, before it serves with an unconfirmed one: its failure domain is cut off.
+	unconfirmedAfter = 2 * time.Second
+	// flowLinesPerSecond bounds the log lines about single flows.
+	flowLinesPerSecond = 50
+	// logTicks is the number of ticks between summaries.
+	ticksPerSecond = 10
+)
+
+// event is a value in the inbox of the engine duty.
+type event interface{ isEvent() }
+
+type (
+	arrived  struct{ datagram *datagram }
+	tick     struct{}
+	updated  struct{ update *wirepb.EdgeUpdate }
+	isReady  struct{ reply *ring.Ring[bool] }
+	stopping struct{}
+	// isQuiet asks how long ago the last packet came.
+	isQuiet struct{ reply *ring.Ring[time.Duration] }
+)
+
+func (arrived) isEvent()  {}
+func (tick) isEvent()     {}
+func (updated) isEvent()  {}
+func (isReady) isEvent()  {}
+func (stopping) isEvent() {}
+func (isQuiet) isEvent()  {}
+
+// engineDuty owns the decisions about packets.
+type engineDuty struct {
+	log     *slog.Logger
+	engine  *affinity.Engine
+	out     *ring.Ring[*datagram]
+	free    *ring.Ring[*datagram]
+	clock   func() time.Duration
+	metrics *counters
+
+	now        time.Duration
+	known      map[uint64]registry.Endpoint
+	confirmed  bool          // a majority has confirmed the state since the start
+	stateSince time.Duration // when there was a state for the first time; -1 before
+	stopping   bool
+	ready      bool // last answer that was logged
+	lastPacket time.Duration
+	ticks      int
+	lines      int // about flows in this second
+	withheld   int
+}
+
+func (d *engineDuty) handle(e event) error {
+	d.now = d.clock()
+	switch e := e.(type) {
+	case arrived:
+		d.decide(e.datagram)
+	case tick:
+		d.tick()
+	case updated:
+		d.update(e.update)
+	case isReady:
+		e.reply.Offer(d.isReady())
+	case isQuiet:
+		e.reply.Offer(d.now - d.lastPacket)
+	case stopping:
+		d.stopping = true
+		d.isReady()
+	}
+	return nil
+}
+
+func (d *engineDuty) decide(g *datagram) {
+	d.lastPacket = d.now
+	decision := d.engine.Decide(d.now, g.packet)
+	d.metrics.decisions[decision.Reason].Inc(1)
+	d.logFlow(g.packet, decision)
+	g.verdict = decision.Verdict
+	switch decision.Verdict {
+	case affinity.Forward:
+		g.to, g.endpoint, g.token = decision.Endpoint.Address, decision.Endpoint.ID, decision.Token
+	case affinity.Drop:
+		d.free.Offer(g)
+		return
+	}
+	if !d.out.Offer(g) {
+		d.free.Offer(g)
+	}
+}
+
+// logFlow writes a line about each flow that begins, moves or ends here.
+func (d *engineDuty) logFlow(p affinity.Packet, decision affinity.Decision) {
+	if decision.Reason == affinity.ByToken || decision.Reason == affinity.CallerReset {
+		return
+	}
+	if d.lines++; d.lines > flowLinesPerSecond {
+		d.withheld++
+		return
+	}
+	attributes := []any{
+		"flow", p.Caller, "route", p.Service, "reason", decision.Reason.String(), "version", d.engine.Version(), "copy", p.Copy,
+	}
+	if ep := decision.Endpoint; ep != nil {
+		attributes = append(attributes, "endpoint", ep.Name, "service", ep.Service, "domain", ep.Domain, "silent", ep.Silent)
+	} else {
+		attributes = append(attributes, "token", p.Token)
+	}
+	d.log.Info("flow", attributes...)
+}
+
+func (d *engineDuty) tick() {
+	d.engine.Tick(d.now)
+	if d.ticks++; d.ticks%ticksPerSecond != 0 {
+		return
+	}
+	if d.withheld > 0 {
+		d.log.Warn("lines about flows withheld", "count", d.withheld)
+	}
+	d.lines, d.withheld = 0, 0
+	d.metrics.flows.Update(int64(d.engine.Flows()))
+	d.metrics.version.Update(int64(d.engine.Version()))
+	d.metrics.endpoints.Update(int64(d.engine.Endpoints()))
+}
+
+// update takes over what the control host has sent.
+func (d *engineDuty) update(u *wirepb.EdgeUpdate) {
+	if p := u.GetTable(); p != nil {
+		d.setRoutes(p)
+	}
+	for _, report := range u.GetEndpoints() {
+		d.upsert(report)
+	}
+	for _, id := range u.GetForgotten() {
+		d.remove(id)
+	}
+	if u.GetComplete() {
+		d.removeOthers(u.GetEndpoints())
+	}
+	if u.GetContact() && u.GetVersion() > 0 && d.engine.Version() >= u.GetVersion() {
+		d.confirmed = true
+	}
+	if d.stateSince < 0 && d.engine.Version() > 0 && d.engine.Endpoints() > 0 {
+		d.stateSince = d.now
+	}
+}
+
+func (d *engineDuty) setRoutes(p *wirepb.RouteTable) {
+	table, err := wire.TableFromProto(p)
+	if err != nil {
+		d.log.Error("routes not taken", "version", p.GetVersion(), "error", err)
+		return
+	}
+	before := d.engine.Version()
+	if d.engine.SetRoutes(table) {
+		d.log.Info("routes in force", "version", table.Version, "before", before, "routes", len(table.Routes))
+	}
+}
+
+func (d *engineDuty) upsert(report *wirepb.EndpointReport) {
+	e, err := wire.EndpointFromProto(report, d.now)
+	if err != nil {
+		d.log.Error("endpoint not taken", "error", err)
+		return
+	}
+	if old, ok := d.known[e.ID]; ok {
+		if e.Born < old.Born {
+			return
+		}
+		if e.Born == old.Born && e.State < old.State && e.Seq <= old.Seq {
+			// A control host that was cut off may have missed the newer state.
+			e.State = old.State
+		}
+		if e.State != old.State || e.Silent != old.Silent || e.Born != old.Born {
+			d.log.Info("endpoint", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "silent", e.Silent,
+				"born", e.Born, "seq", e.Seq, "ageMs", report.GetAgeMs())
+		}
+	} else {
+		d.log.Info("endpoint added", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "address", e.Address,
+			"domain", e.Domain, "born", e.Born, "seq", e.Seq)
+	}
+	d.known[e.ID] = e
+	d.engine.Upsert(d.now, affinity.Endpoint{
+		ID: e.ID, Name: e.Name, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
+		Accepts: e.State == registry.Ready, Gone: e.State == registry.Gone, Silent: e.Silent, ColdTill: e.ColdTill,
+	})
+}
+
+func (d *engineDuty) remove(id uint64) {
+	if e, ok := d.known[id]; ok {
+		d.log.Info("endpoint forgotten", "endpoint", e.Name, "service", e.Service, "state", e.State.String())
+		delete(d.known, id)
+		d.engine.Remove(id)
+	}
+}
+
+// removeOthers forgets the endpoints that the control host does not know and
+// that do not serve any more. The others may be unknown to it because it has
+// just started.
+func (d *engineDuty) removeOthers(complete []*wirepb.EndpointReport) {
+	listed := map[uint64]bool{}
+	for _, report := range complete {
+		listed[report.GetId()] = true
+	}
+	for id, e := range d.known {
+		if !listed[id] && (e.State == registry.Gone || e.Silent) {
+			d.remove(id)
+		}
+	}
+}
+
+// isReady reports whether the fabric may send packets here. A host that has just
+// started waits for a state that a majority has confirmed.
+func (d *engineDuty) isReady() bool {
+	has := d.stateSince >= 0
+	ready := has && !d.stopping && (d.confirmed || d.now-d.stateSince >= unconfirmedAfter)
+	if ready != d.ready {
+		d.ready = ready
+		d.log.Info("readiness", "ready", ready, "hasState", has, "confirmed", d.confirmed, "stopping", d.stopping,
+			"version", d.engine.Version(), "endpoints", d.engine.Endpoints())
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,281 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+const (
+	// silenceLimit ends the connection to a control host, which sends something
+	// every 300 ms.
+	silenceLimit = time.Second
+	// answerLimit is how long a new connection may take before another control host is tried beside it.
+	answerLimit = 400 * time.Millisecond
+	// contactLimit is how long a control host may be without contact to a majority
+	// before another one is tried beside it.
+	contactLimit = time.Second
+	// nearInterval is the time between tries to return to a control host of the own failure domain.
+	nearInterval = 5 * time.Second
+	// maxConnections bounds the connections at a time.
+	maxConnections = 3
+)
+
+// followEvent is a value in the inbox of the follow duty.
+type followEvent interface{ isFollowEvent() }
+
+type (
+	followTick struct{}
+	received   struct {
+		from   *connection
+		update *wirepb.EdgeUpdate
+	}
+	ended struct {
+		from *connection
+		err  error
+	}
+	seedsChanged struct{ seeds []string }
+)
+
+func (followTick) isFollowEvent()   {}
+func (received) isFollowEvent()     {}
+func (ended) isFollowEvent()        {}
+func (seedsChanged) isFollowEvent() {}
+
+// connection follows one control host on a goroutine of its own.
+type connection struct {
+	address string
+	cancel  context.CancelFunc
+	since   time.Duration
+	contact time.Duration // when the control host last was in contact with a majority; -1 before
+}
+
+// followDuty decides which control host to follow: one of the own failure
+// domain that is in contact with a majority, else any in contact, else any.
+type followDuty struct {
+	log      *slog.Logger
+	settings Settings
+	inbox    *ring.Ring[followEvent]
+	engine   *ring.Ring[event]
+	clock    func() time.Duration
+	ctx      context.Context
+
+	now         time.Duration
+	seeds       []string
+	hosts       changelog.Membership // as the control hosts name themselves
+	current     *connection
+	connections []*connection
+	tried       map[string]time.Duration // when each address was tried last
+	nearAt      time.Duration
+}
+
+func (d *followDuty) handle(e followEvent) error {
+	d.now = d.clock()
+	switch e := e.(type) {
+	case followTick:
+		d.tick()
+	case received:
+		return d.received(e)
+	case ended:
+		d.ended(e)
+	case seedsChanged:
+		d.seeds = e.seeds
+	}
+	return nil
+}
+
+// tick opens a further connection where the present ones do not serve.
+func (d *followDuty) tick() {
+	switch {
+	case len(d.connections) >= maxConnections:
+	case d.current == nil:
+		if !slices.ContainsFunc(d.connections, func(c *connection) bool { return d.now-c.since < answerLimit }) {
+			d.connect(false)
+		}
+	case len(d.connections) > 1:
+	case d.now-d.current.contact > contactLimit && d.now-d.current.since > contactLimit:
+		if d.now-d.lastTry() > contactLimit {
+			d.connect(false)
+		}
+	case !d.isNear(d.current.address) && d.now-d.nearAt > nearInterval:
+		d.nearAt = d.now
+		d.connect(true)
+	}
+}
+
+func (d *followDuty) lastTry() time.Duration {
+	last := time.Duration(0)
+	for _, at := range d.tried {
+		last = max(last, at)
+	}
+	return last
+}
+
+// isNear reports whether a control host is in the own failure domain, as far as known.
+func (d *followDuty) isNear(address string) bool {
+	for _, m := range d.hosts {
+		if m.Address == address {
+			return m.Domain == d.settings.Domain
+		}
+	}
+	return false
+}
+
+// connect follows the candidate that was tried longest ago, near ones first.
+func (d *followDuty) connect(nearOnly bool) {
+	best, found := "", false
+	for _, address := range d.candidates() {
+		if nearOnly && !d.isNear(address) {
+			continue
+		}
+		if !found || d.before(address, best) {
+			best, found = address, true
+		}
+	}
+	if !found {
+		return
+	}
+	d.tried[best] = d.now
+	ctx, cancel := context.WithCancel(d.ctx)
+	c := &connection{address: best, cancel: cancel, since: d.now, contact: -1}
+	d.connections = append(d.connections, c)
+	go d.run(ctx, c)
+}
+
+// retryNear is how long ago a near control host must have been tried to be
+// preferred to others again.
+const retryNear = 3 * time.Second
+
+func (d *followDuty) before(a, b string) bool {
+	fresh := func(address string) bool {
+		at, ok := d.tried[address]
+		return d.isNear(address) && (!ok || d.now-at > retryNear)
+	}
+	if fresh(a) != fresh(b) {
+		return fresh(a)
+	}
+	return d.tried[a] < d.tried[b]
+}
+
+// candidates returns the known control hosts that are not followed.
+func (d *followDuty) candidates() []string {
+	var list []string
+	add := func(address string) {
+		connected := slices.ContainsFunc(d.connections, func(c *connection) bool { return c.address == address })
+		if !connected && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	for _, m := range d.hosts {
+		add(m.Address)
+	}
+	for _, seed := range d.seeds {
+		add(seed)
+	}
+	return list
+}
+
+// run follows a control host until it is silent or the context ends.
+func (d *followDuty) run(ctx context.Context, c *connection) {
+	err := d.follow(ctx, c)
+	_, _ = d.inbox.Put(ended{from: c, err: err}) // fails only while the process stops
+}
+
+func (d *followDuty) follow(ctx context.Context, c *connection) error {
+	address, err := netip.ParseAddrPort(c.address)
+	if err != nil {
+		return err
+	}
+	session, err := wire.Dial(ctx, netip.AddrPortFrom(address.Addr(), d.settings.LinkPort).String(), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	stream, err := session.Open()
+	if err != nil {
+		return err
+	}
+	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain}
+	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}}); err != nil {
+		return err
+	}
+	for {
+		envelope, err := stream.ReceiveWithin(silenceLimit)
+		if err != nil {
+			return err
+		}
+		if _, err := d.inbox.Put(received{from: c, update: envelope.GetEdgeUpdate()}); err != nil {
+			return nil
+		}
+	}
+}
+
+// received hands an update on if it comes from the best control host so far.
+func (d *followDuty) received(e received) error {
+	if !slices.Contains(d.connections, e.from) {
+		return nil
+	}
+	if e.update.GetContact() {
+		e.from.contact = d.now
+	}
+	if d.current != e.from && !d.isBetter(e) {
+		d.close(e.from)
+		return nil
+	}
+	if d.current != e.from {
+		d.log.Info("follows control host", "address", e.from.address, "contact", e.update.GetContact(), "version", e.update.GetVersion())
+		for _, other := range slices.Clone(d.connections) {
+			if other != e.from {
+				d.close(other)
+			}
+		}
+		d.current = e.from
+	}
+	if hosts := wire.MembersFromProto(e.update.GetControlHosts()); len(hosts) > 0 {
+		d.hosts = hosts
+	}
+	_, err := d.engine.Put(updated{update: e.update})
+	return err
+}
+
+// isBetter reports whether a new connection replaces the current one.
+func (d *followDuty) isBetter(e received) bool {
+	if d.current == nil {
+		return true
+	}
+	lost := d.now-d.current.contact > contactLimit
+	if e.update.GetContact() != !lost {
+		return e.update.GetContact()
+	}
+	return d.isNear(e.from.address) && !d.isNear(d.current.address)
+}
+
+func (d *followDuty) close(c *connection) {
+	c.cancel()
+	d.connections = slices.DeleteFunc(d.connections, func(o *connection) bool { return o == c })
+	if d.current == c {
+		d.current = nil
+	}
+}
+
+func (d *followDuty) ended(e ended) {
+	if !slices.Contains(d.connections, e.from) {
+		return
+	}
+	if d.current == e.from {
+		d.log.Warn("control host lost", "address", e.from.address, "error", e.err)
+	} else {
+		d.log.Info("control host not reached", "address", e.from.address, "error", e.err)
+	}
+	d.close(e.from)
+	d.tick()
+}
--- /dev/null
+++ b/internal/process/output.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cassiawood/internal/ring"
+)
+
+// outputCapacity bounds the log lines that wait for a slow reader of the output.
+const outputCapacity = 1024
+
+// Output writes log lines on a goroutine of its own. A line that finds no room is
+// dropped and counted, so that logging never holds up a duty.
+type Output struct {
+	lines   *ring.Ring[[]byte]
+	done    chan struct{}
+	dropped atomic.Uint64
+}
+
+// NewOutput starts the goroutine that writes to w.
+func NewOutput(w io.Writer) *Output {
+	o := &Output{lines: ring.New[[]byte]("log-lines", outputCapacity, ring.DropNewest), done: make(chan struct{})}
+	go o.run(w)
+	return o
+}
+
+// Write queues a copy of one line. It never fails.
+func (o *Output) Write(line []byte) (int, error) {
+	if queued, err := o.lines.Put(append([]byte(nil), line...)); err != nil || !queued {
+		o.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (o *Output) run(w io.Writer) {
+	defer close(o.done)
+	for {
+		line, err := o.lines.Get()
+		if err != nil {
+			return
+		}
+		if n := o.dropped.Swap(0); n > 0 {
+			line = append(line, `{"level":"WARN","msg":"log lines dropped","count":`+strconv.FormatUint(n, 10)+"}\n"...)
+		}
+		// A failed write cannot be reported anywhere else.
+		_, _ = w.Write(line)
+	}
+}
+
+// Close waits until the queued lines are written, for limit at most.
+func (o *Output) Close(limit time.Duration) {
+	o.lines.Close()
+	select {
+	case <-o.done:
+	case <-time.After(limit):
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -70,14 +70,20 @@
 type Daemon[S any] struct {
 	Name, Purpose string
 	Load          func(file string) (S, error) // reads and checks the settings
-	TLS           func(S) settings.TLS
+	TLS           func(S) settings.TLS         // nil: links between processes are plain TCP
 	Log           func(S) settings.Log
 	Check         func(S) error // of files that the settings name; may be nil
 	Run           func(s S, log *slog.Logger, config *tls.Config) int
+
+	SettingsVariable string // environment variable that names the settings file when no flag does
+	Stdout           bool   // the log goes to standard output, by way of an Output
 }
 
 // Main runs a daemon with the arguments of the command line and returns its exit code.
 func Main[S any](d Daemon[S], args []string) int {
+	if file := os.Getenv(d.SettingsVariable); d.SettingsVariable != "" && file != "" && len(args) == 0 {
+		args = []string{"-settings", file}
+	}
 	flags, err := ParseFlags(d.Name, d.Purpose, args, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitDone
@@ -94,7 +100,12 @@
 		fmt.Println("The settings are in order.")
 		return ExitDone
 	}
-	return d.Run(s, NewLogger(d.Log(s), os.Stderr), config)
+	if !d.Stdout {
+		return d.Run(s, NewLogger(d.Log(s), os.Stderr), config)
+	}
+	output := NewOutput(os.Stdout)
+	defer output.Close(closeLimit)
+	return d.Run(s, NewLogger(d.Log(s), output), config)
 }
 
 func prepare[S any](d Daemon[S], file string) (S, *tls.Config, error) {
@@ -102,7 +113,10 @@
 	if err != nil {
 		return s, nil, err
 	}
-	config, err := NewTLS(d.TLS(s))
+	var config *tls.Config
+	if d.TLS != nil {
+		config, err = NewTLS(d.TLS(s))
+	}
 	if err == nil && d.Check != nil {
 		err = d.Check(s)
 	}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 
+	"cassiawood/internal/ring"
 	"cassiawood/internal/wire/wirepb"
 )
 
@@ -52,6 +53,20 @@
 	return nil
 }
 
+// Connected reports whether the link has a session, which may have ended unnoticed.
+func (l *Link) Connected() bool { return l.stream != nil }
+
+// Drain sends what is put into out until out is closed or the stream fails, and closes the stream.
+func Drain(out *ring.Ring[*wirepb.Envelope], stream *Stream) {
+	defer func() { _ = stream.Close() }()
+	for {
+		envelope, err := out.Get()
+		if err != nil || stream.Send(envelope) != nil {
+			return
+		}
+	}
+}
+
 // Close ends the session; a later Send dials again.
 func (l *Link) Close() {
 	if l.session != nil {
--- a/internal/wire/log.go
+++ b/internal/wire/log.go
@@ -15,10 +15,10 @@
 		Commit: m.Commit, Reject: m.Reject, RejectHint: m.Hint, Context: m.Context,
 	}
 	for _, e := range m.Entries {
-		p.Entries = append(p.Entries, &wirepb.Entry{Index: e.Index, Term: e.Term, AtNs: int64(e.At), Command: e.Data, Members: membersToProto(e.Members)})
+		p.Entries = append(p.Entries, &wirepb.Entry{Index: e.Index, Term: e.Term, AtNs: int64(e.At), Command: e.Data, Members: MembersToProto(e.Members)})
 	}
 	if s := m.Snapshot; s != nil {
-		p.Snapshot = &wirepb.Snapshot{Index: s.Index, Term: s.Term, AtNs: int64(s.At), State: s.State, Members: membersToProto(s.Members)}
+		p.Snapshot = &wirepb.Snapshot{Index: s.Index, Term: s.Term, AtNs: int64(s.At), State: s.State, Members: MembersToProto(s.Members)}
 	}
 	return p
 }
@@ -35,18 +35,19 @@
 	}
 	for _, e := range p.GetEntries() {
 		m.Entries = append(m.Entries, changelog.Entry{
-			Index: e.GetIndex(), Term: e.GetTerm(), At: time.Duration(e.GetAtNs()), Data: e.GetCommand(), Members: membersFromProto(e.GetMembers()),
+			Index: e.GetIndex(), Term: e.GetTerm(), At: time.Duration(e.GetAtNs()), Data: e.GetCommand(), Members: MembersFromProto(e.GetMembers()),
 		})
 	}
 	if s := p.GetSnapshot(); s != nil {
 		m.Snapshot = &changelog.Snapshot{
-			Index: s.GetIndex(), Term: s.GetTerm(), At: time.Duration(s.GetAtNs()), State: s.GetState(), Members: membersFromProto(s.GetMembers()),
+			Index: s.GetIndex(), Term: s.GetTerm(), At: time.Duration(s.GetAtNs()), State: s.GetState(), Members: MembersFromProto(s.GetMembers()),
 		}
 	}
 	return m, nil
 }
 
-func membersToProto(ms changelog.Membership) []*wirepb.Member {
+// MembersToProto converts a membership.
+func MembersToProto(ms changelog.Membership) []*wirepb.Member {
 	var list []*wirepb.Member
 	for _, m := range ms {
 		list = append(list, &wirepb.Member{Id: m.ID, Address: m.Address, Domain: m.Domain, Voter: m.Voter})
@@ -54,7 +55,8 @@
 	return list
 }
 
-func membersFromProto(list []*wirepb.Member) changelog.Membership {
+// MembersFromProto converts a membership that another host has sent.
+func MembersFromProto(list []*wirepb.Member) changelog.Membership {
 	var ms changelog.Membership
 	for _, m := range list {
 		ms = append(ms, changelog.Member{ID: m.GetId(), Address: m.GetAddress(), Domain: m.GetDomain(), Voter: m.GetVoter()})
--- /dev/null
+++ b/internal/wire/registry.go
@@ -0,0 +1,44 @@
+package wire
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"cassiawood/internal/registry"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// EndpointToProto converts an endpoint. Times of this host's clock travel as
+// spans from now on, because clocks of hosts differ.
+func EndpointToProto(e registry.Endpoint, now time.Duration) *wirepb.EndpointReport {
+	p := &wirepb.EndpointReport{
+		Id: e.ID, Name: e.Name, BornMs: e.Born, Seq: e.Seq, Service: e.Service, Domain: e.Domain, Slots: e.Slots,
+		State: uint32(e.State), ColdForMs: max(0, e.ColdTill-now).Milliseconds(), AgeMs: (now - e.Heard).Milliseconds(), Silent: e.Silent,
+	}
+	if e.Address.IsValid() {
+		p.Address = e.Address.String()
+	}
+	return p
+}
+
+// EndpointFromProto converts an endpoint that another host has sent.
+func EndpointFromProto(p *wirepb.EndpointReport, now time.Duration) (registry.Endpoint, error) {
+	e := registry.Endpoint{
+		ID: p.GetId(), Name: p.GetName(), Born: p.GetBornMs(), Seq: p.GetSeq(), Service: p.GetService(), Domain: p.GetDomain(),
+		Slots: p.GetSlots(), State: registry.State(p.GetState()), ColdTill: now + milliseconds(p.GetColdForMs()),
+		Heard: now - milliseconds(p.GetAgeMs()), Silent: p.GetSilent(),
+	}
+	if p.GetState() < uint32(registry.Ready) || p.GetState() > uint32(registry.Gone) {
+		return e, fmt.Errorf("endpoint %s: unknown state %d", e.Name, p.GetState())
+	}
+	if p.GetAddress() == "" {
+		return e, nil
+	}
+	address, err := netip.ParseAddrPort(p.GetAddress())
+	if err != nil {
+		return e, fmt.Errorf("endpoint %s: %w", e.Name, err)
+	}
+	e.Address = address
+	return e, nil
+}
--- /dev/null
+++ b/internal/wire/routing.go
@@ -0,0 +1,191 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiawood/internal/routing"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// EncodeDesired returns the data of a log entry that puts a desired state in force.
+func EncodeDesired(d routing.Desired) ([]byte, error) {
+	data, err := proto.Marshal(desiredToProto(d))
+	if err != nil {
+		return nil, fmt.Errorf("encode desired state %d: %w", d.Version, err)
+	}
+	return data, nil
+}
+
+// DecodeDesired reads the data of a log entry.
+func DecodeDesired(data []byte) (routing.Desired, error) {
+	p := &wirepb.DesiredState{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		return routing.Desired{}, fmt.Errorf("decode desired state: %w", err)
+	}
+	return desiredFromProto(p)
+}
+
+// EncodeRoutingState returns the content of a snapshot.
+func EncodeRoutingState(s *routing.State) ([]byte, error) {
+	p := &wirepb.RoutingState{Desired: desiredToProto(s.Desired())}
+	for address, services := range s.Former() {
+		p.Former = append(p.Former, &wirepb.FormerServices{Address: address.String(), Services: services})
+	}
+	data, err := proto.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode routing state: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeRoutingState reads the content of a snapshot.
+func DecodeRoutingState(data []byte) (*routing.State, error) {
+	p := &wirepb.RoutingState{}
+	if err := proto.Unmarshal(data, p); err != nil {
+		return nil, fmt.Errorf("decode routing state: %w", err)
+	}
+	desired, err := desiredFromProto(p.GetDesired())
+	if err != nil {
+		return nil, err
+	}
+	former := map[netip.AddrPort][]string{}
+	for _, f := range p.GetFormer() {
+		address, err := netip.ParseAddrPort(f.GetAddress())
+		if err != nil {
+			return nil, fmt.Errorf("decode routing state: %w", err)
+		}
+		former[address] = f.GetServices()
+	}
+	return routing.Restore(desired, former), nil
+}
+
+func desiredToProto(d routing.Desired) *wirepb.DesiredState {
+	p := &wirepb.DesiredState{
+		Version: d.Version, IdleTimeoutMs: d.IdleTimeout.Milliseconds(), Services: d.Services, Document: d.Document,
+	}
+	for _, r := range d.Routes {
+		p.Routes = append(p.Routes, &wirepb.Route{
+			Name: r.Name, Address: r.Address.String(), TimeoutMs: r.Timeout.Milliseconds(), Share: sharesToProto(r.Shares, d.Services),
+		})
+	}
+	return p
+}
+
+func desiredFromProto(p *wirepb.DesiredState) (routing.Desired, error) {
+	d := routing.Desired{
+		Version: p.GetVersion(), IdleTimeout: milliseconds(p.GetIdleTimeoutMs()), Services: p.GetServices(), Document: p.GetDocument(),
+	}
+	var errs []error
+	for _, r := range p.GetRoutes() {
+		address, err := netip.ParseAddrPort(r.GetAddress())
+		shares, errShares := sharesFromProto(r.GetShare(), d.Services)
+		errs = append(errs, err, errShares)
+		d.Routes = append(d.Routes, routing.Route{
+			Name: r.GetName(), Address: address, Timeout: milliseconds(r.GetTimeoutMs()), Shares: shares,
+		})
+	}
+	if err := errors.Join(errs...); err != nil {
+		return routing.Desired{}, fmt.Errorf("decode desired state: %w", err)
+	}
+	return d, nil
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// sharesToProto writes each service as its position in the list of names.
+func sharesToProto(shares []routing.Share, names []string) []uint32 {
+	var list []uint32
+	for _, s := range shares {
+		list = append(list, uint32(slices.Index(names, s.Service)), s.Weight)
+	}
+	return list
+}
+
+func sharesFromProto(list []uint32, names []string) ([]routing.Share, error) {
+	if len(list)%2 != 0 {
+		return nil, errors.New("share without a weight")
+	}
+	var shares []routing.Share
+	for i := 0; i < len(list); i += 2 {
+		if int(list[i]) >= len(names) {
+			return nil, fmt.Errorf("share of service %d of %d", list[i], len(names))
+		}
+		shares = append(shares, routing.Share{Service: names[list[i]], Weight: list[i+1]})
+	}
+	return shares, nil
+}
+
+// TableToProto converts the routes for entry hosts into a compact form: 1,400
+// routes have to reach every entry host over a link of 2 Mbit/s within seconds.
+func TableToProto(t routing.Table) *wirepb.RouteTable {
+	p := &wirepb.RouteTable{Version: t.Version, IdleTimeoutMs: t.IdleTimeout.Milliseconds()}
+	position := map[string]uint32{}
+	intern := func(name string) uint32 {
+		i, ok := position[name]
+		if !ok {
+			i = uint32(len(p.Services))
+			position[name] = i
+			p.Services = append(p.Services, name)
+		}
+		return i
+	}
+	for _, r := range t.Routes {
+		route := &wirepb.TableRoute{Address: addressToBytes(r.Address)}
+		for _, s := range r.Shares {
+			route.Share = append(route.Share, intern(s.Service), s.Weight)
+		}
+		for _, name := range r.Former {
+			route.Former = append(route.Former, intern(name))
+		}
+		p.Routes = append(p.Routes, route)
+	}
+	return p
+}
+
+// TableFromProto converts the routes that a control host has sent.
+func TableFromProto(p *wirepb.RouteTable) (routing.Table, error) {
+	t := routing.Table{Version: p.GetVersion(), IdleTimeout: milliseconds(p.GetIdleTimeoutMs())}
+	names := p.GetServices()
+	for i, r := range p.GetRoutes() {
+		address, err := addressFromBytes(r.GetAddress())
+		shares, errShares := sharesFromProto(r.GetShare(), names)
+		route := routing.TableRoute{Address: address, Shares: shares}
+		for _, f := range r.GetFormer() {
+			if int(f) >= len(names) {
+				return t, fmt.Errorf("route %d: former service %d of %d", i, f, len(names))
+			}
+			route.Former = append(route.Former, names[f])
+		}
+		if err := errors.Join(err, errShares); err != nil {
+			return t, fmt.Errorf("route %d: %w", i, err)
+		}
+		if len(shares) == 0 {
+			return t, fmt.Errorf("route %d has no service", i)
+		}
+		t.Routes = append(t.Routes, route)
+	}
+	return t, nil
+}
+
+func addressToBytes(a netip.AddrPort) []byte {
+	return binary.BigEndian.AppendUint16(a.Addr().AsSlice(), a.Port())
+}
+
+func addressFromBytes(b []byte) (netip.AddrPort, error) {
+	if len(b) < 2 {
+		return netip.AddrPort{}, errors.New("address is cut short")
+	}
+	at := len(b) - 2
+	addr, ok := netip.AddrFromSlice(b[:at])
+	if !ok {
+		return netip.AddrPort{}, fmt.Errorf("address of %d bytes", at)
+	}
+	return netip.AddrPortFrom(addr, binary.BigEndian.Uint16(b[at:])), nil
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -24,9 +24,9 @@
 	maxMessageBytes = 64 << 20
 	// keepAliveInterval and writeTimeout bound how long a silent partition can
 	// hold a session open.
-	keepAliveInterval = time.Second
-	writeTimeout      = 2 * time.Second
-	dialTimeout       = 2 * time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	writeTimeout      = time.Second
+	dialTimeout       = time.Second
 )
 
 // Session is a yamux session with one peer process.
@@ -130,6 +130,14 @@
 	return nil
 }
 
+// ReceiveWithin is Receive with a limit, after which the stream is of no more use.
+func (s *Stream) ReceiveWithin(limit time.Duration) (*wirepb.Envelope, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return nil, fmt.Errorf("receive: %w", err)
+	}
+	return s.Receive()
+}
+
 // Receive waits for the next envelope.
 func (s *Stream) Receive() (*wirepb.Envelope, error) {
 	e := &wirepb.Envelope{}
