Let a joining control host answer the leader, and drop packets without routes

Links now learn the address of each host that connects, and contact needs what the leader has committed.

--- /dev/null
+++ b/internal/affinity/affinity_test.go
@@ -0,0 +1,225 @@
+package affinity_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/affinity"
+	"cassiawood/internal/routing"
+)
+
+func TestAffinity(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "affinity")
+}
+
+var (
+	desk   = netip.MustParseAddrPort("198.18.0.1:443")
+	sheet  = netip.MustParseAddrPort("198.18.0.2:443")
+	caller = netip.MustParseAddrPort("100.64.0.7:40001")
+)
+
+func callerAt(port int) netip.AddrPort { return netip.AddrPortFrom(caller.Addr(), uint16(port)) }
+
+func table(version uint64, routes ...routing.TableRoute) routing.Table {
+	return routing.Table{Version: version, IdleTimeout: 15 * time.Second, Routes: routes}
+}
+
+func route(address netip.AddrPort, services ...string) routing.TableRoute {
+	r := routing.TableRoute{Address: address}
+	for _, s := range services {
+		r.Shares = append(r.Shares, routing.Share{Service: s, Weight: 1})
+	}
+	return r
+}
+
+func endpoint(id uint64, service, domain string) affinity.Endpoint {
+	return affinity.Endpoint{
+		ID: id, Name: fmt.Sprint("i-", id), Born: 1000, Service: service, Domain: domain, Slots: 2, Accepts: true,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 8080),
+	}
+}
+
+// site is an engine with two services of three endpoints each.
+func site() *affinity.Engine {
+	e := affinity.New(affinity.Config{Domain: "a"})
+	e.SetRoutes(table(1, route(desk, "desk"), route(sheet, "sheet")))
+	for id := uint64(1); id <= 3; id++ {
+		e.Upsert(0, endpoint(id, "desk", "a"))
+		e.Upsert(0, endpoint(id+10, "sheet", "a"))
+	}
+	return e
+}
+
+func first(service netip.AddrPort, from netip.AddrPort, number uint32) affinity.Packet {
+	return affinity.Packet{Caller: from, Service: service, Flags: affinity.SYN, Seq: 100, Copy: number}
+}
+
+func later(service netip.AddrPort, from netip.AddrPort, token, ack uint32) affinity.Packet {
+	return affinity.Packet{Caller: from, Service: service, Flags: affinity.ACK, Token: token, Seq: 101, Ack: ack, Length: 10}
+}
+
+var _ = Describe("Engine", func() {
+	// Guards against resets of open flows by a host that has just started: the fabric uses
+	// hosts that are not ready when too few others of a failure domain are.
+	It("drops packets while it has no routes", func() {
+		e := affinity.New(affinity.Config{Domain: "a"})
+		got := e.Decide(0, later(desk, caller, affinity.Token(1), 5))
+		Expect(got.Verdict).To(Equal(affinity.Drop))
+		Expect(got.Reason).To(Equal(affinity.NoState))
+	})
+
+	// Guards against a flow that breaks when the fabric hands it to another host.
+	It("sends later packets to the endpoint of the token on any host", func() {
+		one, other := site(), site()
+		placed := one.Decide(0, first(desk, caller, 0))
+		Expect(placed.Verdict).To(Equal(affinity.Forward))
+		got := other.Decide(time.Second, later(desk, caller, placed.Token, 7))
+		Expect(got.Verdict).To(Equal(affinity.Forward))
+		Expect(got.Endpoint.ID).To(Equal(placed.Endpoint.ID))
+	})
+
+	// Guards against callers that reach a foreign service with a token that they have chosen.
+	It("drops a token of a service that the route never allowed", func() {
+		got := site().Decide(0, later(desk, caller, affinity.Token(11), 5))
+		Expect(got.Verdict).To(Equal(affinity.Drop))
+		Expect(got.Reason).To(Equal(affinity.ForeignToken))
+	})
+
+	It("drops a token that names no endpoint", func() {
+		Expect(site().Decide(0, later(desk, caller, 12345, 5)).Reason).To(Equal(affinity.UnknownToken))
+	})
+
+	// Guards against a new version that moves or ends open flows whose route stays.
+	It("keeps flows of a service that a newer version no longer names", func() {
+		e := site()
+		placed := e.Decide(0, first(desk, caller, 0))
+		e.SetRoutes(table(2, route(desk, "sheet"), route(sheet, "sheet")))
+		Expect(e.Decide(time.Second, later(desk, caller, placed.Token, 7)).Endpoint.Service).To(Equal("desk"))
+		Expect(e.Decide(time.Second, first(desk, callerAt(2), 0)).Endpoint.Service).To(Equal("sheet"))
+	})
+
+	It("does not go back to an older version", func() {
+		e := site()
+		Expect(e.SetRoutes(table(3, route(desk, "desk")))).To(BeTrue())
+		Expect(e.SetRoutes(table(2))).To(BeFalse())
+		Expect(e.Decide(0, first(desk, caller, 0)).Verdict).To(Equal(affinity.Forward))
+	})
+
+	It("resets flows to an address without a route at once", func() {
+		e := site()
+		e.SetRoutes(table(2, route(sheet, "sheet")))
+		Expect(e.Decide(0, first(desk, caller, 0)).Verdict).To(Equal(affinity.Reset))
+		Expect(e.Decide(0, affinity.Packet{Caller: caller, Service: desk, Flags: affinity.RST}).Verdict).To(Equal(affinity.Drop))
+	})
+
+	// Guards against new flows on an endpoint that is leaving.
+	It("places no flow on an endpoint that does not accept them, and keeps its open ones", func() {
+		e := site()
+		for id := uint64(1); id <= 2; id++ {
+			draining := endpoint(id, "desk", "a")
+			draining.Accepts = false
+			e.Upsert(0, draining)
+		}
+		for port := range 20 {
+			Expect(e.Decide(0, first(desk, callerAt(port+1), 0)).Endpoint.ID).To(BeEquivalentTo(3))
+		}
+		Expect(e.Decide(0, later(desk, caller, affinity.Token(1), 5)).Verdict).To(Equal(affinity.Forward))
+	})
+
+	// Guards against resets of flows whose endpoint still sends its last answers.
+	It("resets flows of an endpoint that has ended, but not at once", func() {
+		e := site()
+		gone := endpoint(1, "desk", "a")
+		gone.Accepts, gone.Gone = false, true
+		e.Upsert(time.Second, gone)
+		Expect(e.Decide(time.Second, later(desk, caller, affinity.Token(1), 5)).Verdict).To(Equal(affinity.Forward))
+		Expect(e.Decide(10*time.Second, later(desk, caller, affinity.Token(1), 5)).Verdict).To(Equal(affinity.Reset))
+	})
+
+	// Guards against waiting for an endpoint that a newer one at its address proves dead.
+	It("takes an endpoint for ended once a newer incarnation has its address", func() {
+		e := site()
+		heir := endpoint(20, "sheet", "a")
+		heir.Address, heir.Born = endpoint(1, "desk", "a").Address, 2000
+		e.Upsert(0, heir)
+		Expect(e.Decide(5*time.Second, later(desk, caller, affinity.Token(1), 5)).Reason).To(Equal(affinity.EndpointGone))
+		for port := range 20 {
+			Expect(e.Decide(0, first(desk, callerAt(port+1), 0)).Endpoint.ID).NotTo(BeEquivalentTo(1))
+		}
+	})
+
+	// Guards against callers that wait for a dead endpoint until their time is over.
+	It("sends a copy of a first packet to another endpoint", func() {
+		e := site()
+		tried := map[uint64]bool{}
+		for number := range uint32(3) {
+			got := e.Decide(time.Duration(number)*200*time.Millisecond, first(desk, caller, number))
+			Expect(tried).NotTo(HaveKey(got.Endpoint.ID))
+			tried[got.Endpoint.ID] = true
+		}
+	})
+
+	// Guards against a flow that is torn between two endpoints that have both answered copies
+	// of its first packet: the caller repeats the token of the answer that came last.
+	It("keeps a flow at the endpoint that was acknowledged first", func() {
+		e := site()
+		one := e.Decide(0, first(desk, caller, 0)).Token
+		two := e.Decide(200*time.Millisecond, first(desk, caller, 1)).Token
+		Expect(two).NotTo(Equal(one))
+		opened := e.Decide(210*time.Millisecond, later(desk, caller, one, 5)).Endpoint.ID
+		Expect(e.Decide(220*time.Millisecond, later(desk, caller, two, 6)).Endpoint.ID).To(Equal(opened))
+	})
+
+	// Guards against new flows on an endpoint that answers nobody.
+	It("avoids an endpoint that callers have had no answer from", func() {
+		e := site()
+		avoided := e.Decide(0, first(desk, caller, 0)).Endpoint.ID
+		for port := range 3 {
+			token := affinity.Token(avoided)
+			e.Decide(0, later(desk, callerAt(100+port), token, 5))
+			e.Decide(200*time.Millisecond, later(desk, callerAt(100+port), token, 5))
+		}
+		for port := range 30 {
+			Expect(e.Decide(300*time.Millisecond, first(desk, callerAt(200+port), 0)).Endpoint.ID).NotTo(Equal(avoided))
+		}
+	})
+
+	// Guards against bytes between failure domains that cost money and time.
+	It("prefers endpoints of its own failure domain until they have more load", func() {
+		e := affinity.New(affinity.Config{Domain: "a"})
+		e.SetRoutes(table(1, route(desk, "desk")))
+		e.Upsert(0, endpoint(1, "desk", "a"))
+		e.Upsert(0, endpoint(2, "desk", "b"))
+		count := map[uint64]int{}
+		for port := range 30 {
+			count[e.Decide(0, first(desk, callerAt(port+1), 0)).Endpoint.ID]++
+		}
+		Expect(count[1]).To(BeNumerically(">", count[2]))
+		Expect(count[2]).To(BeNumerically(">", 0))
+	})
+
+	It("spreads flows evenly over equal endpoints", func() {
+		e := site()
+		count := map[uint64]int{}
+		for port := range 300 {
+			count[e.Decide(0, first(desk, callerAt(port+1), 0)).Endpoint.ID]++
+		}
+		for id := uint64(1); id <= 3; id++ {
+			Expect(count[id]).To(Equal(100))
+		}
+	})
+
+	It("forgets idle flows", func() {
+		e := site()
+		e.Decide(0, first(desk, caller, 0))
+		Expect(e.Flows()).To(Equal(1))
+		e.Tick(16 * time.Second)
+		Expect(e.Flows()).To(BeZero())
+	})
+})
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -218,6 +218,10 @@
 
 // Decide decides about a packet of a caller.
 func (e *Engine) Decide(now time.Duration, p Packet) Decision {
+	if e.version == 0 {
+		// The fabric sends packets also to hosts that are not ready when too few others are.
+		return Decision{Verdict: Drop, Reason: NoState}
+	}
 	r := e.routes[p.Service]
 	if r == nil {
 		return refuse(p, NoRoute)
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -58,6 +58,7 @@
 	Moved                      // a copy of a first packet, sent to another endpoint than the ones before
 	Repeated                   // a copy of a first packet, sent where the flow was placed
 	ByToken                    // a later packet
+	NoState                    // there are no routes yet, so nothing is known of the flow
 	NoRoute                    // no route has the address
 	NoEndpoint                 // the service has no endpoint
 	UnknownToken               // the token names no endpoint known here
@@ -68,7 +69,7 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"placed", "moved", "repeated", "by token", "no route", "no endpoint", "unknown token", "foreign token",
+	"placed", "moved", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
 	"endpoint gone", "caller reset",
 }
 
--- a/internal/changelog/follower.go
+++ b/internal/changelog/follower.go
@@ -15,6 +15,7 @@
 		return
 	}
 	n.hearLeader(m.From)
+	n.leaderCommit = max(n.leaderCommit, m.Commit)
 	reply := Message{Kind: n.replyKind(), To: m.From, Index: m.Index, Context: m.Context}
 	// What is committed is the same on all members, also where it is compacted.
 	if m.Index > n.log.commit && !n.log.matches(m.Index, m.LogTerm) {
--- /dev/null
+++ b/internal/changelog/membership_test.go
@@ -0,0 +1,273 @@
+package changelog_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog"
+)
+
+// group is a dynamic group with virtual time. Each member keeps what it has
+// stored, so that it can be restarted, or started again without its disk.
+type group struct {
+	random  *rand.Rand
+	now     time.Duration
+	initial changelog.Membership
+	nodes   map[uint64]*changelog.Node
+	disks   map[uint64]*disk
+	flying  []changelog.Message
+	down    map[uint64]bool
+	applied map[uint64]map[uint64]string // by member and index
+	agreed  map[uint64]string            // by index
+	reads   map[uint64][]uint64          // confirmed tickets by member
+}
+
+type disk struct {
+	hs       changelog.HardState
+	snapshot changelog.Snapshot
+	entries  []changelog.Entry
+}
+
+func newGroup(seed uint64, voters ...uint64) *group {
+	g := &group{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, nodes: map[uint64]*changelog.Node{}, disks: map[uint64]*disk{},
+		down: map[uint64]bool{}, applied: map[uint64]map[uint64]string{}, agreed: map[uint64]string{}, reads: map[uint64][]uint64{},
+	}
+	for _, id := range voters {
+		g.initial = g.initial.With(changelog.Member{ID: id, Voter: true})
+	}
+	for _, id := range voters {
+		g.start(id, g.initial)
+	}
+	return g
+}
+
+// start starts a member with what its disk holds.
+func (g *group) start(id uint64, initial changelog.Membership) {
+	GinkgoHelper()
+	if g.disks[id] == nil {
+		g.disks[id] = &disk{}
+	}
+	d := g.disks[id]
+	node, err := changelog.New(changelog.Config{ID: id, Dynamic: true, Initial: initial, Seed: g.random.Uint64(), KeepEntries: 2},
+		d.hs, d.snapshot, d.entries)
+	Expect(err).NotTo(HaveOccurred())
+	g.nodes[id], g.down[id], g.applied[id] = node, false, map[uint64]string{}
+	node.Tick(g.now)
+}
+
+func (g *group) work(id uint64) {
+	n, d := g.nodes[id], g.disks[id]
+	for n.HasReady() {
+		r := n.Ready()
+		if r.HardState != nil {
+			d.hs = *r.HardState
+		}
+		if r.Snapshot != nil {
+			d.snapshot = *r.Snapshot
+			if r.Install {
+				d.entries = nil
+			}
+		}
+		for _, e := range r.Entries {
+			kept := d.entries[:0]
+			for _, old := range d.entries {
+				if old.Index < e.Index {
+					kept = append(kept, old)
+				}
+			}
+			d.entries = append(kept, e)
+		}
+		g.flying = append(g.flying, r.Messages...)
+		for _, e := range r.Committed {
+			text := fmt.Sprint(e.Term, string(e.Data), e.Members)
+			if known, ok := g.agreed[e.Index]; ok {
+				Expect(text).To(Equal(known), "member %d applies another entry %d", id, e.Index)
+			}
+			g.agreed[e.Index], g.applied[id][e.Index] = text, text
+		}
+		g.reads[id] = append(g.reads[id], r.Confirmed...)
+		n.Advance()
+	}
+}
+
+func (g *group) run(d time.Duration) {
+	for end := g.now + d; g.now < end; g.now += 10 * time.Millisecond {
+		due := g.flying
+		g.flying = nil
+		for _, m := range due {
+			if to := g.nodes[m.To]; to != nil && !g.down[m.To] && !g.down[m.From] && g.random.Float64() > 0.02 {
+				to.Step(m)
+			}
+		}
+		for id, n := range g.nodes {
+			if !g.down[id] {
+				n.Tick(g.now)
+				g.work(id)
+			}
+		}
+	}
+}
+
+func (g *group) leader() *changelog.Node {
+	GinkgoHelper()
+	for range 100 {
+		for id, n := range g.nodes {
+			if s := n.Status(); !g.down[id] && s.Role == changelog.Leader && g.now-s.LastContact < 100*time.Millisecond {
+				return n
+			}
+		}
+		g.run(50 * time.Millisecond)
+	}
+	Fail("no leader")
+	return nil
+}
+
+// change puts a membership in force, at whichever member leads.
+func (g *group) change(edit func(changelog.Membership) changelog.Membership) {
+	GinkgoHelper()
+	for range 100 {
+		n := g.leader()
+		if _, err := n.ProposeMembers(edit(n.Status().Members)); err == nil {
+			g.run(200 * time.Millisecond)
+			if s := g.leader().Status(); !s.Changing {
+				return
+			}
+		}
+		g.run(50 * time.Millisecond)
+	}
+	Fail("the membership does not change")
+}
+
+func (g *group) propose(text string) uint64 {
+	GinkgoHelper()
+	for range 50 {
+		if index, _, err := g.leader().Propose([]byte(text)); err == nil {
+			g.run(200 * time.Millisecond)
+			return index
+		}
+		g.run(50 * time.Millisecond)
+	}
+	Fail("no proposal is taken")
+	return 0
+}
+
+var _ = Describe("a dynamic group", func() {
+	// Guards against a group that cannot replace a host: the new one has no membership until it
+	// gets the log.
+	It("adds a member that starts with nothing, and lets it vote", func() {
+		g := newGroup(1, 1, 2, 3)
+		g.propose("a")
+		g.start(4, nil)
+		g.change(func(m changelog.Membership) changelog.Membership { return m.With(changelog.Member{ID: 4}) })
+		g.run(time.Second)
+		Expect(g.applied[4]).NotTo(BeEmpty())
+		g.change(func(m changelog.Membership) changelog.Membership { return m.Without(3) })
+		g.change(func(m changelog.Membership) changelog.Membership { return m.With(changelog.Member{ID: 4, Voter: true}) })
+		g.down[3] = true
+		other := g.leader().Status().ID
+		g.down[other] = true
+		Expect(g.leader().Status().Members.Voters()).To(Equal(3))
+		g.propose("b")
+	})
+
+	It("gives a member that is far behind a snapshot with the membership", func() {
+		g := newGroup(2, 1, 2, 3)
+		for i := range 10 {
+			g.propose(fmt.Sprint(i))
+		}
+		n := g.leader()
+		Expect(n.Compact(n.Status().Applied, []byte("state"))).To(Succeed())
+		g.run(100 * time.Millisecond)
+		g.start(4, nil)
+		g.change(func(m changelog.Membership) changelog.Membership { return m.With(changelog.Member{ID: 4}) })
+		g.run(time.Second)
+		Expect(g.nodes[4].Status().Members).To(Equal(g.leader().Status().Members))
+		Expect(g.disks[4].snapshot.Index).To(BeNumerically(">", 0))
+	})
+
+	// Guards against two majorities that share no member.
+	It("refuses to change two voters at once, or while a change is under way", func() {
+		g := newGroup(3, 1, 2, 3)
+		g.propose("a")
+		n := g.leader()
+		two := n.Status().Members.With(changelog.Member{ID: 4, Voter: true}).With(changelog.Member{ID: 5, Voter: true})
+		_, err := n.ProposeMembers(two)
+		Expect(err).To(HaveOccurred())
+		_, err = n.ProposeMembers(n.Status().Members.With(changelog.Member{ID: 4}))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = n.ProposeMembers(n.Status().Members.With(changelog.Member{ID: 5}))
+		Expect(err).To(MatchError(changelog.ErrMembershipBusy))
+	})
+
+	It("keeps the membership over a restart", func() {
+		g := newGroup(4, 1, 2, 3)
+		g.change(func(m changelog.Membership) changelog.Membership { return m.With(changelog.Member{ID: 4, Domain: "d"}) })
+		want := g.leader().Status().Members
+		for id := uint64(1); id <= 3; id++ {
+			g.start(id, g.initial)
+		}
+		Expect(g.leader().Status().Members).To(Equal(want))
+	})
+
+	// Guards against old state that a leader returns after it was cut off or frozen.
+	It("confirms a read only by answers of a majority that come after it", func() {
+		g := newGroup(5, 1, 2, 3)
+		g.propose("a")
+		n := g.leader()
+		self := n.Status().ID
+		ticket, err := n.ReadIndex()
+		Expect(err).NotTo(HaveOccurred())
+		g.run(200 * time.Millisecond)
+		Expect(g.reads[self]).To(ContainElement(ticket))
+		g.down[self%3+1], g.down[(self+1)%3+1] = true, true
+		ticket, err = n.ReadIndex()
+		Expect(err).NotTo(HaveOccurred())
+		g.run(3 * time.Second)
+		Expect(g.reads[self]).NotTo(ContainElement(ticket))
+		_, err = n.ReadIndex()
+		Expect(err).To(BeAssignableToTypeOf(changelog.NotLeaderError{}))
+	})
+
+	// Guards against the loss of an entry while voters are replaced, hosts crash and a disk is lost.
+	It("loses nothing while members are replaced at random", func() {
+		for seed := range uint64(20) {
+			g := newGroup(seed+10, 1, 2, 3)
+			next, indexes := uint64(4), []uint64{}
+			for step := range 6 {
+				indexes = append(indexes, g.propose(fmt.Sprint("step ", step)))
+				s := g.leader().Status()
+				victim := s.Members[g.random.IntN(len(s.Members))].ID
+				if victim == s.ID {
+					continue
+				}
+				g.down[victim] = true
+				if g.random.IntN(2) == 0 {
+					g.run(300 * time.Millisecond)
+					g.start(victim, g.initial)
+					continue
+				}
+				joiner := next
+				next++
+				g.start(joiner, nil)
+				g.change(func(m changelog.Membership) changelog.Membership { return m.With(changelog.Member{ID: joiner}) })
+				g.run(500 * time.Millisecond)
+				g.change(func(m changelog.Membership) changelog.Membership { return m.Without(victim) })
+				g.change(func(m changelog.Membership) changelog.Membership {
+					return m.With(changelog.Member{ID: joiner, Voter: true})
+				})
+				delete(g.nodes, victim)
+			}
+			g.run(2 * time.Second)
+			leader := g.leader().Status()
+			for i, index := range indexes {
+				Expect(g.agreed[index]).To(ContainSubstring(fmt.Sprint("step ", i)), "seed %d", seed)
+				Expect(leader.Commit).To(BeNumerically(">=", index), "seed %d", seed)
+			}
+		}
+	})
+})
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -30,6 +30,7 @@
 	role   Role
 	leader uint64
 
+	leaderCommit     uint64        // highest commit index that a leader has told
 	leaderContact    time.Duration // when the leader was last heard; -1 for never
 	electionDeadline time.Duration
 	campaign         uint64          // Context of the current vote requests
@@ -282,6 +283,7 @@
 		ID: n.cfg.ID, Role: n.role, Leader: n.leader, Term: n.hs.Term, Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), Rejoining: n.hs.Rejoining, LastContact: n.leaderContact,
 		Members: n.members(), Changing: n.log.membership().index > n.log.commit,
+		LeaderCommit: max(n.leaderCommit, n.log.commit),
 	}
 	if n.role == Leader {
 		s.LastContact = n.quorumContact()
--- a/internal/changelog/types.go
+++ b/internal/changelog/types.go
@@ -206,10 +206,12 @@
 	// in contact: on the leader, when a quorum still answered it; on a
 	// follower, when the leader was last heard. It is -1 when there was none.
 	LastContact time.Duration
-	Match       map[uint64]uint64        // leader only: last entry known to be stored, by member
-	Contact     map[uint64]time.Duration // leader only: when the latest message that the member answered was sent
-	Members     Membership               // nil in a fixed group
-	Changing    bool                     // the latest change of the membership is not committed yet
+	// LeaderCommit is the highest commit index that a leader has told, or the own one.
+	LeaderCommit uint64
+	Match        map[uint64]uint64        // leader only: last entry known to be stored, by member
+	Contact      map[uint64]time.Duration // leader only: when the latest message that the member answered was sent
+	Members      Membership               // nil in a fixed group
+	Changing     bool                     // the latest change of the membership is not committed yet
 }
 
 // NotLeaderError refuses a proposal on a member that is not the leader.
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -27,12 +27,18 @@
 		envelope *wirepb.Envelope
 	}
 	broadcast struct{ envelope *wirepb.Envelope } // to all members but this one
+	// peerNamed tells where a peer is that may not be a member here yet.
+	peerNamed struct {
+		id      uint64
+		address string
+	}
 )
 
 func (setMembers) isLinkEvent()  {}
 func (sendMessage) isLinkEvent() {}
 func (sendTo) isLinkEvent()      {}
 func (broadcast) isLinkEvent()   {}
+func (peerNamed) isLinkEvent()   {}
 
 // linksDuty owns the outboxes of the links to other control hosts. Each link
 // has a goroutine of its own, since dialling and writing may wait.
@@ -41,6 +47,7 @@
 	settings Settings
 	self     uint64
 	members  changelog.Membership
+	peers    map[uint64]string                       // address by identity, of members and of hosts that have named themselves
 	outboxes map[string]*ring.Ring[*wirepb.Envelope] // by address of the control host
 	ctx      context.Context
 }
@@ -48,16 +55,24 @@
 // outboxCapacity bounds what waits for a slow link. The protocol repeats what is lost.
 const outboxCapacity = 512
 
+// maxPeers bounds the addresses that are kept of hosts that are no members.
+const maxPeers = 256
+
 func (d *linksDuty) handle(e linkEvent) error {
 	switch e := e.(type) {
 	case setMembers:
 		d.setMembers(e.members)
 	case sendMessage:
-		if m, ok := d.members.Find(e.message.To); ok {
-			d.send(m.Address, &wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(e.message)}})
+		if address, ok := d.peers[e.message.To]; ok {
+			d.send(address, &wirepb.Envelope{Body: &wirepb.Envelope_LogMessage{LogMessage: wire.LogMessageToProto(e.message)}})
 		}
 	case sendTo:
 		d.send(e.address, e.envelope)
+	case peerNamed:
+		// A host that joins gets entries of the leader before it knows the membership.
+		if len(d.peers) < maxPeers {
+			d.peers[e.id] = e.address
+		}
 	case broadcast:
 		for _, m := range d.members {
 			if m.ID != d.self {
@@ -72,8 +87,10 @@
 func (d *linksDuty) setMembers(members changelog.Membership) {
 	d.members = members
 	wanted := map[string]bool{}
+	clear(d.peers)
 	for _, m := range members {
 		wanted[m.Address] = true
+		d.peers[m.ID] = m.Address
 	}
 	for address, outbox := range d.outboxes {
 		if !wanted[address] {
@@ -93,7 +110,7 @@
 		}
 		outbox = ring.New[*wirepb.Envelope]("link-out", outboxCapacity, ring.DropOldest)
 		d.outboxes[address] = outbox
-		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), link: wire.NewLink(target, nil), outbox: outbox}
+		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), id: d.self, link: wire.NewLink(target, nil), outbox: outbox}
 		go l.run(d.ctx)
 	}
 	outbox.Offer(e)
@@ -110,6 +127,7 @@
 	log       *slog.Logger
 	peer      string
 	self      string
+	id        uint64
 	link      *wire.Link
 	outbox    *ring.Ring[*wirepb.Envelope]
 	connected bool
@@ -138,7 +156,7 @@
 		l.connected, l.lost = true, false
 		l.log.Info("link to control host established", "peer", l.peer)
 		err = l.link.Send(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{
-			EndpointUpdate: &wirepb.EndpointUpdate{RequestAll: true, From: l.self},
+			EndpointUpdate: &wirepb.EndpointUpdate{RequestAll: true, From: l.self, FromId: l.id},
 		}})
 	}
 	if err != nil && !l.lost {
@@ -153,6 +171,7 @@
 	listener net.Listener
 	log      *ring.Ring[replica.Event]
 	state    *ring.Ring[event]
+	links    *ring.Ring[linkEvent]
 }
 
 func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
@@ -202,6 +221,9 @@
 		s.log.Offer(replica.Received{Message: m})
 		return nil
 	case *wirepb.Envelope_EndpointUpdate:
+		if u := body.EndpointUpdate; u.GetFromId() != 0 {
+			s.links.Offer(peerNamed{id: u.GetFromId(), address: u.GetFrom()})
+		}
 		_, err = s.state.Put(peerUpdate{update: body.EndpointUpdate})
 	case *wirepb.Envelope_JoinRequest:
 		j := body.JoinRequest
--- /dev/null
+++ b/internal/cluster/links_test.go
@@ -0,0 +1,53 @@
+package cluster
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/wire/wirepb"
+)
+
+func TestCluster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cluster")
+}
+
+// linksOf returns the links duty of a host whose links go nowhere.
+func linksOf() *linksDuty {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return &linksDuty{
+		log: slog.New(slog.DiscardHandler), settings: Settings{Address: netip.MustParseAddrPort("127.0.0.1:1"), LinkPort: 9},
+		self: 1, outboxes: map[string]*ring.Ring[*wirepb.Envelope]{}, peers: map[uint64]string{}, ctx: ctx,
+	}
+}
+
+var _ = Describe("links", func() {
+	// Guards against a host that joins and cannot answer the leader, because it learns the
+	// membership only with the entries that the leader sends after such an answer.
+	It("answer a peer that is no member yet", func() {
+		d := linksOf()
+		Expect(d.handle(sendMessage{changelog.Message{Kind: changelog.KindAppendReply, To: 7}})).To(Succeed())
+		Expect(d.outboxes).To(BeEmpty())
+		Expect(d.handle(peerNamed{id: 7, address: "127.0.0.1:7"})).To(Succeed())
+		Expect(d.handle(sendMessage{changelog.Message{Kind: changelog.KindAppendReply, To: 7}})).To(Succeed())
+		Expect(d.outboxes).To(HaveKey("127.0.0.1:7"))
+	})
+
+	It("end with the membership of their peer", func() {
+		d := linksOf()
+		Expect(d.handle(setMembers{changelog.Membership{{ID: 2, Address: "127.0.0.1:2"}}})).To(Succeed())
+		Expect(d.handle(broadcast{&wirepb.Envelope{}})).To(Succeed())
+		outbox := d.outboxes["127.0.0.1:2"]
+		Expect(d.handle(setMembers{changelog.Membership{{ID: 3, Address: "127.0.0.1:3"}}})).To(Succeed())
+		Expect(d.outboxes).NotTo(HaveKey("127.0.0.1:2"))
+		Expect(outbox.Offer(&wirepb.Envelope{})).To(BeFalse())
+	})
+})
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -220,9 +220,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stopLinks = cancel
 	h.linksDuty = &linksDuty{
-		log: h.log, settings: s, self: id.ID, outboxes: map[string]*ring.Ring[*wirepb.Envelope]{}, ctx: ctx,
+		log: h.log, settings: s, self: id.ID, outboxes: map[string]*ring.Ring[*wirepb.Envelope]{}, peers: map[uint64]string{}, ctx: ctx,
 	}
-	server := &linkServer{logger: h.log, listener: h.listener, log: h.logInbox, state: h.state}
+	server := &linkServer{logger: h.log, listener: h.listener, log: h.logInbox, state: h.state, links: h.links}
 	h.group.Add(duty.FromRing("log", h.logInbox, replica.NewLog(h.log, node, h.storage, logOutput{state: h.state, links: h.links}).Handle))
 	h.group.Add(duty.FromRing("storage", h.storage, replica.NewStorage(h.store, h.logInbox).Handle))
 	h.group.Add(duty.FromRing("state", h.state, state.handle))
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -142,10 +142,11 @@
 
 func (d *stateDuty) isLeader() bool { return d.status.Role == changelog.Leader }
 
-// inContact reports whether a majority was in contact lately: as the leader by its
-// answers, else by the leader, which steps down without them.
+// inContact reports whether a majority was in contact lately, as the leader by its
+// answers, else by the leader, which steps down without them, and whether this
+// host has what the leader has committed.
 func (d *stateDuty) inContact() bool {
-	return d.status.Leader != 0 && d.status.LastContact >= 0 && d.now-d.status.LastContact <= contactAge
+	return d.status.Leader != 0 && d.status.Commit >= d.status.LeaderCommit && d.status.LastContact >= 0 && d.now-d.status.LastContact <= contactAge
 }
 
 func (d *stateDuty) leaderAddress() string {
