Wait for room on a full disk instead of ending the process

Change: the storage duty opens the files again and retries the same Ready; the member answers nobody meanwhile, so the others elect another leader.

--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -72,6 +72,7 @@
 	settings  Settings
 	group     *duty.Group
 	store     *wal.Storage
+	storing   *replica.Storage
 	logInbox  *ring.Ring[replica.Event]
 	storage   *ring.Ring[changelog.Ready]
 	state     *ring.Ring[event]
@@ -224,7 +225,8 @@
 	}
 	server := &linkServer{logger: h.log, listener: h.listener, log: h.logInbox, state: h.state, links: h.links}
 	h.group.Add(duty.FromRing("log", h.logInbox, replica.NewLog(h.log, node, h.storage, logOutput{state: h.state, links: h.links}).Handle))
-	h.group.Add(duty.FromRing("storage", h.storage, replica.NewStorage(h.store, h.logInbox).Handle))
+	h.storing = replica.NewStorage(h.log, h.store, h.reopen, h.logInbox)
+	h.group.Add(duty.FromRing("storage", h.storage, h.storing.Handle))
 	h.group.Add(duty.FromRing("state", h.state, state.handle))
 	h.group.Add(duty.FromRing("links", h.links, h.linksDuty.handle))
 	h.group.Add(duty.FromRing("endpoint file", h.files, h.writeEndpoints))
@@ -238,6 +240,12 @@
 	}))
 }
 
+// reopen opens the files of the log again after a failed write.
+func (h *Host) reopen() (replica.Store, error) {
+	store, _, err := wal.Open(wal.Dir(filepath.Join(h.settings.DataFolder, logFolder)))
+	return store, err
+}
+
 // openRegistry reads the saved registry. A file that is absent or damaged means an
 // empty one, which the other hosts and the reports fill.
 func (h *Host) openRegistry(now time.Duration) *registry.Registry {
@@ -288,5 +296,5 @@
 	h.files.Close()
 	err := h.group.Stop(ctx)
 	h.linksDuty.close()
-	return errors.Join(err, h.store.Close())
+	return errors.Join(err, h.storing.Close())
 }
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -153,7 +153,7 @@
 	state := directory.New()
 	h.links = links
 	h.log = replica.NewLog(log, node, h.stored, logOutput{apply: h.applied, members: links})
-	h.storage = replica.NewStorage(memoryStore{}, h.inbox)
+	h.storage = replica.NewStorage(log, memoryStore{}, nil, h.inbox)
 	h.apply = &applyDuty{
 		log: log, logInbox: h.inbox, audit: h.audit, clock: func() time.Duration { return s.now },
 		operators: map[uint64]string{1: "https://1", 2: "https://2", 3: "https://3"}, domains: domains,
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -220,7 +220,7 @@
 		h.group.Add(duty.Duty{Name: "link to " + link.link.Address(), Run: link.run})
 	}
 	logs := replica.NewLog(h.log, node, h.storage, logOutput{apply: h.apply, members: h.members})
-	storing := replica.NewStorage(h.store, h.logInbox)
+	storing := replica.NewStorage(h.log, h.store, nil, h.logInbox)
 	applying := &applyDuty{
 		log: h.log, logInbox: h.logInbox, audit: h.audit, addresses: addresses, operators: operators,
 		controlDomains: domains, domains: h.settings.FailureDomains, clock: clock,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"syscall"
 	"time"
 
 	"cassiawood/internal/changelog"
@@ -190,21 +191,56 @@
 	Close() error
 }
 
-// Storage is the duty that owns the files of the log. A failed write ends the process,
-// because nothing is known of the disk after a failed sync.
+// Storage is the duty that owns the files of the log. Nothing is known of a
+// disk after a failed write or sync, so the files are opened again before the
+// next try. A member that waits for its disk answers nobody, and the others go on without it.
 type Storage struct {
-	store Store
-	log   *ring.Ring[Event]
+	logger *slog.Logger
+	store  Store
+	reopen func() (Store, error) // nil: a failed write ends the process
+	log    *ring.Ring[Event]
 }
 
+// retryPause is the time between tries to write to a disk that takes no writes.
+const retryPause = 200 * time.Millisecond
+
 // NewStorage returns the duty that saves to store and answers to the inbox of the log duty.
-func NewStorage(store Store, log *ring.Ring[Event]) *Storage { return &Storage{store: store, log: log} }
+func NewStorage(logger *slog.Logger, store Store, reopen func() (Store, error), log *ring.Ring[Event]) *Storage {
+	return &Storage{logger: logger, store: store, reopen: reopen, log: log}
+}
 
 // Handle saves one Ready.
 func (d *Storage) Handle(ready changelog.Ready) error {
 	err := d.store.Save(ready)
+	if errors.Is(err, syscall.ENOSPC) && d.reopen != nil {
+		err = d.retry(ready, err)
+	}
 	if _, putErr := d.log.Put(Stored{Err: err}); putErr != nil && !errors.Is(putErr, ring.ErrClosed) {
 		return putErr
 	}
 	return err
 }
+
+// retry saves a Ready on a disk that is full, once it has room again.
+func (d *Storage) retry(ready changelog.Ready, err error) error {
+	d.logger.Error("disk is full, waiting for room", "error", err)
+	since := time.Now()
+	for errors.Is(err, syscall.ENOSPC) {
+		time.Sleep(retryPause)
+		if closeErr := d.store.Close(); closeErr != nil {
+			d.logger.Warn("log file not closed", "error", closeErr)
+		}
+		var store Store
+		if store, err = d.reopen(); err == nil {
+			d.store = store
+			err = d.store.Save(ready)
+		}
+	}
+	if err == nil {
+		d.logger.Info("disk has room again", "afterMs", time.Since(since).Milliseconds())
+	}
+	return err
+}
+
+// Close closes the files.
+func (d *Storage) Close() error { return d.store.Close() }
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,70 @@
+package replica_test
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"syscall"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/replica"
+	"cassiawood/internal/ring"
+)
+
+func TestReplica(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replica")
+}
+
+// failingStore fails a number of times and then saves.
+type failingStore struct {
+	err      error
+	failures *int
+	saved    *int
+}
+
+func (s failingStore) Save(changelog.Ready) error {
+	if *s.failures > 0 {
+		*s.failures--
+		return fmt.Errorf("write: %w", s.err)
+	}
+	*s.saved++
+	return nil
+}
+
+func (failingStore) Close() error { return nil }
+
+var _ = Describe("Storage", func() {
+	var (
+		failures, saved, opened int
+		log                     *ring.Ring[replica.Event]
+	)
+	storage := func(err error) *replica.Storage {
+		store := failingStore{err, &failures, &saved}
+		return replica.NewStorage(slog.New(slog.DiscardHandler), store, func() (replica.Store, error) { opened++; return store, nil }, log)
+	}
+	BeforeEach(func() {
+		failures, saved, opened = 2, 0, 0
+		log = ring.New[replica.Event]("log", 4, ring.Block)
+	})
+
+	// Guards against a control host that ends, and ends again at each start, while its disk is full.
+	It("waits for room on a full disk and confirms only what is saved", func() {
+		Expect(storage(syscall.ENOSPC).Handle(changelog.Ready{})).To(Succeed())
+		Expect(saved).To(Equal(1))
+		Expect(opened).To(Equal(2))
+		got, _ := log.Get()
+		Expect(got).To(Equal(replica.Stored{}))
+	})
+
+	// Guards against going on after a failed sync, of which nothing is known.
+	It("ends on any other error", func() {
+		broken := errors.New("input/output error")
+		Expect(storage(broken).Handle(changelog.Ready{})).To(MatchError(broken))
+		Expect(saved).To(BeZero())
+	})
+})
