--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -165,6 +165,16 @@
 		}
 	})
 
+	// Guards against going back to an older version: a copy that comes after a new version
+	// was placed with the service of the version that placed the first packet.
+	It("places a copy by the version in force", func() {
+		e := site()
+		e.Decide(0, first(desk, caller, 0))
+		e.SetRoutes(table(2, route(desk, "sheet")))
+		got := e.Decide(200*time.Millisecond, first(desk, caller, 1))
+		Expect(got.Endpoint.Service).To(Equal("sheet"))
+	})
+
 	// Guards against a flow that is torn between two endpoints that have both answered copies
 	// of its first packet: the caller repeats the token of the answer that came last.
 	It("keeps a flow at the endpoint that was acknowledged first", func() {
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -26,7 +26,7 @@
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
 	if f != nil && f.tried != nil && f.seq == p.Seq {
-		return e.decideCopy(now, f, r)
+		return e.decideCopy(now, p, f, r)
 	}
 	service := e.pickService(p, r)
 	ep := e.choose(now, service, nil)
@@ -44,10 +44,16 @@
 // decideCopy handles a copy of the first packet. A caller sends one when no
 // answer has come for longer than any round trip takes, so the endpoint is
 // dead, full or out of reach, unless a packet was lost.
-func (e *Engine) decideCopy(now time.Duration, f *flow, r *route) Decision {
+func (e *Engine) decideCopy(now time.Duration, p Packet, f *flow, r *route) Decision {
 	if !f.answered {
 		f.endpoint.evidence.noAnswer(now)
-		if ep := e.choose(now, f.endpoint.Service, f.tried); ep != nil {
+		// The routes may have changed since the first packet.
+		service := e.pickService(p, r)
+		ep := e.choose(now, service, f.tried)
+		if ep == nil && service != f.endpoint.Service {
+			return refuse(p, NoEndpoint)
+		}
+		if ep != nil {
 			e.reassign(f, ep)
 			f.tried = append(f.tried, ep)
 			return Decision{Verdict: Forward, Reason: Moved, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.began}
