Turn from control hosts without a state, and elect sooner after a start

Change: an entry host tries several control hosts until one has a state; the first election after a start comes within 0.3 s; the failure domains of the first voters become part of the membership.

--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -106,6 +106,9 @@
 	if !n.started {
 		n.started = true
 		n.resetElectionDeadline()
+		if first := n.cfg.FirstElection; first > 0 {
+			n.electionDeadline = n.now + first/3 + time.Duration(n.random.Int64N(int64(first-first/3)))
+		}
 		n.startRejoin()
 	}
 	switch {
--- a/internal/changelog/types.go
+++ b/internal/changelog/types.go
@@ -42,6 +42,10 @@
 	// hard state is present. It must be false at the first start of a group.
 	Rejoining bool
 
+	// FirstElection is the longest election timeout right after a start; 0 stands for the usual
+	// ones. It may be short, since a pre-vote does not disturb a leader that the others hear.
+	FirstElection time.Duration
+
 	ElectionMin    time.Duration // shortest election timeout
 	ElectionMax    time.Duration // longest election timeout; also the time without quorum contact after which a leader steps down
 	Heartbeat      time.Duration
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -62,6 +62,9 @@
 
 // peerUpdate merges what another control host knows.
 func (d *stateDuty) peerUpdate(u *wirepb.EndpointUpdate) {
+	if u.GetFromId() != 0 {
+		d.domains[u.GetFromId()] = u.GetFromDomain()
+	}
 	for _, report := range u.GetReports() {
 		e, err := wire.EndpointFromProto(report, d.now)
 		if err != nil {
--- a/internal/cluster/followers.go
+++ b/internal/cluster/followers.go
@@ -36,7 +36,7 @@
 // catchUp sends everything to a follower.
 func (d *stateDuty) catchUp(out *ring.Ring[*wirepb.Envelope]) {
 	d.sendTo(out, &wirepb.EdgeUpdate{
-		Table: d.table(), Endpoints: d.allEndpoints(), Complete: true, ControlHosts: d.controlHosts(),
+		Table: d.table(), Endpoints: d.allEndpoints(), Complete: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain,
 	})
 }
 
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -110,7 +110,7 @@
 		}
 		outbox = ring.New[*wirepb.Envelope]("link-out", outboxCapacity, ring.DropOldest)
 		d.outboxes[address] = outbox
-		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), id: d.self, link: wire.NewLink(target, nil), outbox: outbox}
+		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), id: d.self, domain: d.settings.Domain, link: wire.NewLink(target, nil), outbox: outbox}
 		go l.run(d.ctx)
 	}
 	outbox.Offer(e)
@@ -128,6 +128,7 @@
 	peer      string
 	self      string
 	id        uint64
+	domain    string
 	link      *wire.Link
 	outbox    *ring.Ring[*wirepb.Envelope]
 	connected bool
@@ -156,7 +157,7 @@
 		l.connected, l.lost = true, false
 		l.log.Info("link to control host established", "peer", l.peer)
 		err = l.link.Send(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{
-			EndpointUpdate: &wirepb.EndpointUpdate{RequestAll: true, From: l.self, FromId: l.id},
+			EndpointUpdate: &wirepb.EndpointUpdate{RequestAll: true, From: l.self, FromId: l.id, FromDomain: l.domain},
 		}})
 	}
 	if err != nil && !l.lost {
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -41,6 +41,8 @@
 	electionMin = 500 * time.Millisecond
 	electionMax = time.Second
 	heartbeat   = 100 * time.Millisecond
+	// firstElection shortens the time without a leader after all hosts were down.
+	firstElection = 300 * time.Millisecond
 	// keepEntries is small because each entry holds a whole desired state.
 	keepEntries = 16
 	// handlerLimit is above the stall of a disk that comes back.
@@ -195,7 +197,7 @@
 	}
 	node, err := changelog.New(changelog.Config{
 		ID: id.ID, Dynamic: true, Initial: id.Initial, Seed: id.ID ^ uint64(clock()), KeepEntries: keepEntries,
-		ElectionMin: electionMin, ElectionMax: electionMax, Heartbeat: heartbeat,
+		ElectionMin: electionMin, ElectionMax: electionMax, Heartbeat: heartbeat, FirstElection: firstElection,
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
 	if err != nil {
 		return fail(errors.Join(fmt.Errorf("start the log: %w", err), store.Close()))
@@ -215,7 +217,7 @@
 			Voters: 2*s.Tolerated + 1, ReplaceAfter: replaceAfter, RemoveAfter: removeAfter, ContactAge: contactAge, Lag: maxLag,
 		},
 		routes: routes, index: node.Status().Applied, compacted: node.Status().Applied, registry: h.openRegistry(clock()), seeds: s.SeedAddresses(),
-		followers: map[*ring.Ring[*wirepb.Envelope]]*follower{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{},
+		followers: map[*ring.Ring[*wirepb.Envelope]]*follower{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{}, domains: map[uint64]string{id.ID: s.Domain},
 		status: changelog.Status{LastContact: -1},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -57,6 +57,7 @@
 	lastContext uint64
 
 	joining    map[uint64]join
+	domains    map[uint64]string // failure domain by identity, as the hosts have told
 	proposedAt time.Duration
 	joinAt     time.Duration
 	alive      []*wirepb.SignOfLife // heard here since the last update to the others
@@ -253,7 +254,7 @@
 	}
 	view := voters.View{
 		Self: d.self.ID, Members: d.status.Members, Match: d.status.Match, Commit: d.status.Commit,
-		Silence: map[uint64]time.Duration{},
+		Silence: map[uint64]time.Duration{}, Domains: d.domains,
 	}
 	for id, contact := range d.status.Contact {
 		view.Silence[id] = d.now - contact
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -17,15 +17,15 @@
 	// silenceLimit ends the connection to a control host, which sends something
 	// every 300 ms.
 	silenceLimit = time.Second
-	// answerLimit is how long a new connection may take before another control host is tried beside it.
-	answerLimit = 400 * time.Millisecond
 	// contactLimit is how long a control host may be without contact to a majority
 	// before another one is tried beside it.
 	contactLimit = time.Second
 	// nearInterval is the time between tries to return to a control host of the own failure domain.
 	nearInterval = 5 * time.Second
+	// retryPause is the time between connections to the same control host.
+	retryPause = 300 * time.Millisecond
 	// maxConnections bounds the connections at a time.
-	maxConnections = 3
+	maxConnections = 4
 )
 
 // followEvent is a value in the inbox of the follow duty.
@@ -55,6 +55,7 @@
 	cancel  context.CancelFunc
 	since   time.Duration
 	contact time.Duration // when the control host last was in contact with a majority; -1 before
+	version uint64        // of the desired state that the control host has, 0 when it has none
 }
 
 // followDuty decides which control host to follow: one of the own failure
@@ -70,6 +71,7 @@
 	now         time.Duration
 	seeds       []string
 	hosts       changelog.Membership // as the control hosts name themselves
+	domains     map[string]string    // failure domain by address of a control host
 	current     *connection
 	connections []*connection
 	tried       map[string]time.Duration // when each address was tried last
@@ -95,10 +97,10 @@
 func (d *followDuty) tick() {
 	switch {
 	case len(d.connections) >= maxConnections:
-	case d.current == nil:
-		if !slices.ContainsFunc(d.connections, func(c *connection) bool { return d.now-c.since < answerLimit }) {
-			d.connect(false)
-		}
+	case d.current == nil || d.current.version == 0:
+		// Several at once, since a host that is down or has lost its disk takes long to show it.
+		d.connect(false)
+		d.connect(false)
 	case len(d.connections) > 1:
 	case d.now-d.current.contact > contactLimit && d.now-d.current.since > contactLimit:
 		if d.now-d.lastTry() > contactLimit {
@@ -120,19 +122,14 @@
 
 // isNear reports whether a control host is in the own failure domain, as far as known.
 func (d *followDuty) isNear(address string) bool {
-	for _, m := range d.hosts {
-		if m.Address == address {
-			return m.Domain == d.settings.Domain
-		}
-	}
-	return false
+	return d.domains[address] == d.settings.Domain
 }
 
 // connect follows the candidate that was tried longest ago, near ones first.
 func (d *followDuty) connect(nearOnly bool) {
 	best, found := "", false
 	for _, address := range d.candidates() {
-		if nearOnly && !d.isNear(address) {
+		if at, ok := d.tried[address]; nearOnly && !d.isNear(address) || ok && d.now-at < retryPause {
 			continue
 		}
 		if !found || d.before(address, best) {
@@ -227,6 +224,10 @@
 	if e.update.GetContact() {
 		e.from.contact = d.now
 	}
+	e.from.version = e.update.GetVersion()
+	if e.update.GetComplete() && e.update.GetDomain() != "" {
+		d.domains[e.from.address] = e.update.GetDomain()
+	}
 	if d.current != e.from && !d.isBetter(e) {
 		d.close(e.from)
 		return nil
@@ -242,6 +243,11 @@
 	}
 	if hosts := wire.MembersFromProto(e.update.GetControlHosts()); len(hosts) > 0 {
 		d.hosts = hosts
+		for _, m := range hosts {
+			if m.Domain != "" {
+				d.domains[m.Address] = m.Domain
+			}
+		}
 	}
 	_, err := d.engine.Put(updated{update: e.update})
 	return err
@@ -252,6 +258,9 @@
 	if d.current == nil {
 		return true
 	}
+	if has, had := e.update.GetVersion() > 0, d.current.version > 0; has != had {
+		return has
+	}
 	lost := d.now-d.current.contact > contactLimit
 	if e.update.GetContact() != !lost {
 		return e.update.GetContact()
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -119,7 +119,7 @@
 	}
 	follow := &followDuty{
 		log: h.log, settings: h.settings, inbox: h.follow, engine: h.engine, clock: clock, ctx: ctx,
-		seeds: h.settings.SeedAddresses(), tried: map[string]time.Duration{},
+		seeds: h.settings.SeedAddresses(), tried: map[string]time.Duration{}, domains: map[string]string{},
 	}
 	in := &reader{socket: h.socket, fabric: fabric, free: h.free, engine: h.engine, metrics: m}
 	out := &writer{log: h.log, socket: h.socket, fabric: fabric, free: h.free, metrics: m}
--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -23,6 +23,7 @@
 	Self    uint64
 	Members changelog.Membership
 	Joining []changelog.Member       // asked to be added; their disks are empty or they were removed
+	Domains map[uint64]string        // failure domains as the hosts have told them
 	Silence map[uint64]time.Duration // since the latest contact, by member
 	Match   map[uint64]uint64        // last entry known to be stored, by member
 	Commit  uint64
@@ -39,6 +40,13 @@
 		standby.Voter = true
 		return v.Members.With(standby), "a standby has caught up", true
 	}
+	for _, m := range v.Members {
+		if domain := v.Domains[m.ID]; domain != "" && domain != m.Domain {
+			// The first voters know only their addresses of each other.
+			m.Domain = domain
+			return v.Members.With(m), "the failure domain of a host became known", true
+		}
+	}
 	for _, m := range v.Members {
 		silence := v.Silence[m.ID]
 		switch {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -26,7 +26,9 @@
 	// hold a session open.
 	keepAliveInterval = 500 * time.Millisecond
 	writeTimeout      = time.Second
-	dialTimeout       = time.Second
+	// dialTimeout is above the round trip between distant failure domains and far below the
+	// second after which TCP repeats a lost first packet, so that a host that comes back is found soon.
+	dialTimeout = 400 * time.Millisecond
 )
 
 // Session is a yamux session with one peer process.
