--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -13,7 +13,7 @@
 	// foreignDomainFactor is how much more load an endpoint of the own failure
 	// domain may have before one of another is preferred. Links between failure
 	// domains cost money and add their delay to each packet.
-	foreignDomainFactor = 2.0
+	foreignDomainFactor = 4.0
 	// coldFactor weighs an endpoint that has just started, which is slow.
 	coldFactor = 1.6
 	// Penalties order endpoints that may not answer behind all others.
