Take no old report for a sign of life

Change: a statement that is older than the limit of silence is no sign of life; silent endpoints stay silent over a restart. The test failed first.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -111,9 +111,10 @@
 	d.files.Offer(data)
 }
 
-// loadRegistry takes over a saved registry. How long ago the endpoints were heard
-// is not known, so they count as heard now.
-func loadRegistry(r *registry.Registry, data []byte, now time.Duration) error {
+// loadRegistry takes over a saved registry. How long the process was down is not
+// known, so endpoints that were not silent count as heard now.
+func loadRegistry(r *registry.Registry, data []byte, now, silent time.Duration) error {
+	r.Tick(now)
 	u := &wirepb.EndpointUpdate{}
 	if err := proto.Unmarshal(data, u); err != nil {
 		return err
@@ -123,7 +124,9 @@
 		if err != nil {
 			return err
 		}
-		e.Heard = now
+		if e.Heard = now; e.Silent {
+			e.Heard = now - silent
+		}
 		r.Merge(e)
 	}
 	return nil
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -252,13 +252,14 @@
 // empty one, which the other hosts and the reports fill.
 func (h *Host) openRegistry(now time.Duration) *registry.Registry {
 	s := h.settings
-	r := registry.New(registry.Limits{Silent: silentReports*s.ReportInterval + silentSlack, Forget: s.FlowMax})
+	silent := silentReports*s.ReportInterval + silentSlack
+	r := registry.New(registry.Limits{Silent: silent, Forget: s.FlowMax})
 	data, err := os.ReadFile(filepath.Join(s.DataFolder, endpointsName))
 	if errors.Is(err, os.ErrNotExist) {
 		return r
 	}
 	if err == nil {
-		err = loadRegistry(r, data, now)
+		err = loadRegistry(r, data, now, silent)
 	}
 	if err != nil {
 		h.log.Warn("saved endpoints cannot be read", "error", err)
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -127,6 +127,7 @@
 	}
 	for _, e := range silent {
 		d.log.Info("endpoint is silent", "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.Heard).Milliseconds())
+		d.changed = true
 		d.publishEndpoint(e)
 	}
 	d.expire()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -71,6 +71,7 @@
 type Registry struct {
 	limits    Limits
 	endpoints map[uint64]*Endpoint
+	now       time.Duration // of the last Tick
 }
 
 // New returns an empty registry.
@@ -107,7 +108,7 @@
 	known, ok := r.endpoints[e.ID]
 	switch {
 	case !ok:
-		e.Silent = false
+		e.Silent = r.isSilent(e)
 		e.unsure = e.State == Gone && e.Born == 0
 		r.endpoints[e.ID] = &e
 		return true
@@ -117,16 +118,19 @@
 		return false
 	case e.Born > known.Born:
 		late := known.Born == 0 && e.Heard <= known.Heard
-		if e.Silent = false; late {
+		if e.Silent = r.isSilent(e); late {
 			// The statement is older than a farewell that did not say which incarnation leaves.
 			e.State, e.unsure, e.Heard = Gone, true, known.Heard
 		}
 		r.endpoints[e.ID] = &e
 		return true
 	}
-	return known.update(e)
+	return known.update(e, r.isSilent(e))
 }
 
+// isSilent reports whether a statement is too old to be a sign of life.
+func (r *Registry) isSilent(e Endpoint) bool { return r.now-e.Heard >= r.limits.Silent }
+
 // leave takes a farewell that does not say which incarnation leaves, so it is
 // taken for the known one.
 func (e *Endpoint) leave(heard time.Duration) bool {
@@ -137,8 +141,8 @@
 	return true
 }
 
-// update merges a statement of the same incarnation.
-func (e *Endpoint) update(s Endpoint) bool {
+// update merges a statement of the same incarnation. An old statement is no sign of life.
+func (e *Endpoint) update(s Endpoint, old bool) bool {
 	changed := false
 	switch {
 	case s.State > e.State:
@@ -153,7 +157,7 @@
 	}
 	if s.Heard > e.Heard && e.State != Gone {
 		e.Heard = s.Heard
-		if e.Silent {
+		if e.Silent && !old {
 			e.Silent, changed = false, true
 		}
 	}
@@ -176,6 +180,7 @@
 // Tick marks endpoints as silent and drops what is over. It returns the endpoints
 // that have just become silent and the IDs of those that were dropped.
 func (r *Registry) Tick(now time.Duration) (silent []Endpoint, forgotten []uint64) {
+	r.now = now
 	for id, e := range r.endpoints {
 		switch age := now - e.Heard; {
 		case age >= r.limits.Forget:
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -93,6 +93,22 @@
 		Expect(e.Address.String()).To(Equal("10.0.0.7:8080"))
 	})
 
+	// Guards against new flows on dead endpoints whenever control hosts exchange what they know:
+	// the age of a report loses some milliseconds on its way.
+	It("does not take an old report from another host for a sign of life", func() {
+		r := newRegistry()
+		r.Merge(report(100, 1, registry.Ready, time.Second))
+		r.Tick(10 * time.Second)
+		Expect(r.Merge(report(100, 1, registry.Ready, time.Second+3*time.Millisecond))).To(BeFalse())
+		e, _ := r.Get(7)
+		Expect(e.Silent).To(BeTrue())
+		other := newRegistry()
+		other.Tick(10 * time.Second)
+		other.Merge(report(100, 1, registry.Ready, time.Second))
+		e, _ = other.Get(7)
+		Expect(e.Silent).To(BeTrue())
+	})
+
 	It("finds endpoints silent, alive again and forgotten", func() {
 		r := newRegistry()
 		r.Merge(report(100, 1, registry.Ready, time.Second))
