Send changes of endpoints to entry hosts together, encoded once

An entry host stayed with the old version meanwhile. Change: changes within a tick of 50 ms travel together; an update is encoded once for all followers. The new test bounds the updates of 100 followers for 150 endpoints; it was written with the change and was not run against the code before, whose interface differs.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -40,10 +40,9 @@
 }
 
 func (d *stateDuty) endpointChanged(e registry.Endpoint, source string) {
-	d.changed = true
+	d.changed, d.unpublished[e.ID] = true, true
 	d.log.Info("endpoint", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "address", e.Address, "domain", e.Domain,
 		"born", e.Born, "seq", e.Seq, "slots", e.Slots, "coldMs", max(0, e.ColdTill-d.now).Milliseconds(), "source", source)
-	d.publishEndpoint(e)
 }
 
 func (d *stateDuty) broadcast(u *wirepb.EndpointUpdate) {
--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -34,9 +34,9 @@
 	// follow and unfollow come from streams of entry hosts.
 	follow struct {
 		host, domain string
-		out          *ring.Ring[*wirepb.Envelope]
+		out          *ring.Ring[[]byte]
 	}
-	unfollow struct{ out *ring.Ring[*wirepb.Envelope] }
+	unfollow struct{ out *ring.Ring[[]byte] }
 	// peerUpdate and joinRequest come from other control hosts.
 	peerUpdate  struct{ update *wirepb.EndpointUpdate }
 	joinRequest struct{ member changelog.Member }
--- a/internal/cluster/followers.go
+++ b/internal/cluster/followers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cassiawood/internal/registry"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
@@ -16,14 +15,14 @@
 // follower is an entry host that gets routes and endpoints from here.
 type follower struct {
 	host, domain string
-	behind       bool // an update was lost, so it needs everything again
+	behind       bool // it has to get everything, at first or because an update was lost
 	sent         time.Duration
 }
 
 func (d *stateDuty) follow(e follow) {
 	d.followers[e.out] = &follower{host: e.host, domain: e.domain, behind: true}
 	d.log.Info("entry host follows", "host", e.host, "domain", e.domain, "version", d.routes.Desired().Version, "endpoints", d.registry.Len())
-	d.catchUp(e.out)
+	d.catchUp()
 }
 
 func (d *stateDuty) unfollow(e unfollow) {
@@ -33,53 +32,87 @@
 	}
 }
 
-// catchUp sends everything to a follower.
-func (d *stateDuty) catchUp(out *ring.Ring[*wirepb.Envelope]) {
-	d.sendTo(out, &wirepb.EdgeUpdate{
-		Table: d.table(), Endpoints: d.allEndpoints(), Complete: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain,
-	})
+// catchUp sends everything to the followers that are behind. It is encoded once
+// for all of them: after a fault of the whole site all entry hosts come at once.
+func (d *stateDuty) catchUp() {
+	var frame []byte
+	for out, f := range d.followers {
+		if !f.behind {
+			continue
+		}
+		if frame == nil {
+			frame = d.encode(&wirepb.EdgeUpdate{
+				Table: d.table(), Endpoints: d.allEndpoints(), Complete: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain,
+			})
+		}
+		f.behind, f.sent = !out.Offer(frame), d.now
+	}
 }
 
 func (d *stateDuty) table() *wirepb.RouteTable { return wire.TableToProto(d.routes.Table()) }
 
 func (d *stateDuty) controlHosts() []*wirepb.Member { return wire.MembersToProto(d.status.Members) }
 
-// sendTo sends an update. A follower that does not keep up gets everything later.
-func (d *stateDuty) sendTo(out *ring.Ring[*wirepb.Envelope], u *wirepb.EdgeUpdate) {
-	f := d.followers[out]
+// encode completes an update and returns it as it travels to each follower.
+func (d *stateDuty) encode(u *wirepb.EdgeUpdate) []byte {
 	u.Contact, u.Version = d.inContact(), d.routes.Desired().Version
-	f.sent = d.now
-	f.behind = !out.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeUpdate{EdgeUpdate: u}}) || f.behind && !u.GetComplete()
+	frame, err := wire.Encode(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeUpdate{EdgeUpdate: u}})
+	if err != nil {
+		d.log.Error("update for entry hosts does not encode", "error", err)
+	}
+	return frame
 }
 
-func (d *stateDuty) publish(u func() *wirepb.EdgeUpdate) {
-	for out := range d.followers {
-		d.sendTo(out, u())
+// publish sends an update to all followers. One that does not keep up gets
+// everything later.
+func (d *stateDuty) publish(u *wirepb.EdgeUpdate) {
+	if len(d.followers) == 0 {
+		return
+	}
+	frame := d.encode(u)
+	for out, f := range d.followers {
+		if !f.behind {
+			f.behind, f.sent = !out.Offer(frame), d.now
+		}
 	}
 }
 
-func (d *stateDuty) publishTable() {
-	table := d.table()
-	d.publish(func() *wirepb.EdgeUpdate { return &wirepb.EdgeUpdate{Table: table} })
-}
+func (d *stateDuty) publishTable() { d.publish(&wirepb.EdgeUpdate{Table: d.table()}) }
 
 func (d *stateDuty) publishControlHosts() {
-	hosts := d.controlHosts()
-	d.publish(func() *wirepb.EdgeUpdate { return &wirepb.EdgeUpdate{ControlHosts: hosts} })
+	d.publish(&wirepb.EdgeUpdate{ControlHosts: d.controlHosts()})
 }
 
-func (d *stateDuty) publishEndpoint(e registry.Endpoint) {
-	report := wire.EndpointToProto(e, d.now)
-	d.publish(func() *wirepb.EdgeUpdate { return &wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{report}} })
+// publishEndpoints sends the endpoints that have changed since the last tick in one update.
+func (d *stateDuty) publishEndpoints(forgotten []uint64) {
+	if len(d.unpublished) == 0 && len(forgotten) == 0 {
+		return
+	}
+	u := &wirepb.EdgeUpdate{Forgotten: forgotten}
+	for id := range d.unpublished {
+		if e, ok := d.registry.Get(id); ok {
+			u.Endpoints = append(u.Endpoints, wire.EndpointToProto(e, d.now))
+		}
+	}
+	clear(d.unpublished)
+	d.publish(u)
 }
 
+// heartbeat sends an update to the followers that have not had one for some time.
 func (d *stateDuty) heartbeat() {
+	d.catchUp()
+	var due []*ring.Ring[[]byte]
 	for out, f := range d.followers {
-		switch {
-		case f.behind:
-			d.catchUp(out)
-		case d.now-f.sent >= heartbeatInterval:
-			d.sendTo(out, &wirepb.EdgeUpdate{})
+		if !f.behind && d.now-f.sent >= heartbeatInterval {
+			due = append(due, out)
 		}
 	}
+	if len(due) == 0 {
+		return
+	}
+	frame := d.encode(&wirepb.EdgeUpdate{})
+	for _, out := range due {
+		f := d.followers[out]
+		f.behind, f.sent = !out.Offer(frame), d.now
+	}
 }
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -193,7 +193,7 @@
 // serve reads one stream until it ends.
 func (s *linkServer) serve(stream *wire.Stream) {
 	defer func() { _ = stream.Close() }()
-	out := ring.New[*wirepb.Envelope]("follower-out", followerCapacity, ring.DropNewest)
+	out := ring.New[[]byte]("follower-out", followerCapacity, ring.DropNewest)
 	defer out.Close()
 	following := false
 	for {
@@ -211,7 +211,7 @@
 	}
 }
 
-func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[*wirepb.Envelope], stream *wire.Stream, following *bool) error {
+func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[[]byte], stream *wire.Stream, following *bool) error {
 	var err error
 	switch body := e.GetBody().(type) {
 	case *wirepb.Envelope_LogMessage:
@@ -232,7 +232,7 @@
 	case *wirepb.Envelope_EdgeFollow:
 		if !*following {
 			*following = true
-			go wire.Drain(out, stream)
+			go wire.DrainEncoded(out, stream)
 		}
 		f := body.EdgeFollow
 		_, err = s.state.Put(follow{host: f.GetHost(), domain: f.GetDomain(), out: out})
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -35,8 +35,9 @@
 	linksInboxCapacity = 4096
 	// tickInterval is a quarter of the heartbeat of the log.
 	tickInterval = 25 * time.Millisecond
-	// stateTickEvery lets the state duty tick every 100 ms.
-	stateTickEvery = 4
+	// stateTickEvery lets the state duty tick every 50 ms, which bounds how long a change of an
+	// endpoint waits for others to travel with.
+	stateTickEvery = 2
 	// The election timeouts are above the 200 ms for which TCP holds up a link after a loss.
 	electionMin = 500 * time.Millisecond
 	electionMax = time.Second
@@ -217,7 +218,7 @@
 			Voters: 2*s.Tolerated + 1, ReplaceAfter: replaceAfter, RemoveAfter: removeAfter, ContactAge: contactAge, Lag: maxLag,
 		},
 		routes: routes, index: node.Status().Applied, compacted: node.Status().Applied, registry: h.openRegistry(clock()), seeds: s.SeedAddresses(),
-		followers: map[*ring.Ring[*wirepb.Envelope]]*follower{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{}, domains: map[uint64]string{id.ID: s.Domain},
+		followers: map[*ring.Ring[[]byte]]*follower{}, unpublished: map[uint64]bool{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{}, domains: map[uint64]string{id.ID: s.Domain},
 		status: changelog.Status{LastContact: -1},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -51,7 +51,8 @@
 	status    changelog.Status
 	seeds     []string
 
-	followers   map[*ring.Ring[*wirepb.Envelope]]*follower
+	followers   map[*ring.Ring[[]byte]]*follower
+	unpublished map[uint64]bool // endpoints that changed since the last update to followers
 	puts        []waitingPut
 	gets        map[uint64]waitingGet // by context
 	lastContext uint64
@@ -122,14 +123,11 @@
 
 func (d *stateDuty) tick() {
 	silent, forgotten := d.registry.Tick(d.now)
-	if len(forgotten) > 0 {
-		d.publish(func() *wirepb.EdgeUpdate { return &wirepb.EdgeUpdate{Forgotten: forgotten} })
-	}
 	for _, e := range silent {
 		d.log.Info("endpoint is silent", "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.Heard).Milliseconds())
-		d.changed = true
-		d.publishEndpoint(e)
+		d.changed, d.unpublished[e.ID] = true, true
 	}
+	d.publishEndpoints(forgotten)
 	d.expire()
 	d.changeMembership()
 	d.askToJoin()
--- /dev/null
+++ b/internal/cluster/state_test.go
@@ -0,0 +1,235 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"cassiawood/internal/changelog"
+	"cassiawood/internal/registry"
+	"cassiawood/internal/replica"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/routing"
+	"cassiawood/internal/voters"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// control is a state duty whose log and links are rings that the test reads.
+type control struct {
+	*stateDuty
+	time time.Duration
+}
+
+func newControl() *control {
+	c := &control{time: time.Hour}
+	c.stateDuty = &stateDuty{
+		log: slog.New(slog.DiscardHandler), self: changelog.Member{ID: 1, Address: "127.0.0.1:1", Domain: "a"},
+		policy: voters.Policy{Voters: 3, ReplaceAfter: replaceAfter, RemoveAfter: removeAfter, ContactAge: contactAge, Lag: maxLag},
+		clock:  func() time.Duration { return c.time }, logInbox: ring.New[replica.Event]("log", 1024, ring.Block),
+		links: ring.New[linkEvent]("links", 4096, ring.Block), files: ring.New[[]byte]("files", 1, ring.DropOldest),
+		metrics: newCounters(metrics.NewRegistry()), routes: routing.NewState(),
+		registry:  registry.New(registry.Limits{Silent: 2600 * time.Millisecond, Forget: time.Minute}),
+		followers: map[*ring.Ring[[]byte]]*follower{}, unpublished: map[uint64]bool{}, gets: map[uint64]waitingGet{},
+		joining: map[uint64]join{}, domains: map[uint64]string{}, status: changelog.Status{LastContact: -1},
+	}
+	return c
+}
+
+// leads makes the host the leader of a group that answers it.
+func (c *control) leads() *control {
+	members := changelog.Membership{{ID: 1, Address: "127.0.0.1:1", Domain: "a", Voter: true}, {ID: 2, Address: "127.0.0.1:2", Domain: "b", Voter: true}}
+	c.give(statusChanged{changelog.Status{ID: 1, Role: changelog.Leader, Leader: 1, Term: 1, LastContact: c.time, Members: members}})
+	return c
+}
+
+func (c *control) give(e event) {
+	GinkgoHelper()
+	Expect(c.handle(e)).To(Succeed())
+}
+
+func (c *control) pass(d time.Duration) {
+	GinkgoHelper()
+	for end := c.time + d; c.time < end; {
+		c.time += 50 * time.Millisecond
+		c.give(tick{})
+	}
+}
+
+func (c *control) commit(d routing.Desired) {
+	GinkgoHelper()
+	data, err := wire.EncodeDesired(d)
+	Expect(err).NotTo(HaveOccurred())
+	c.give(committed{replica.Committed{Entries: []changelog.Entry{{Index: c.index + 1, Term: 1, Data: data}}}})
+}
+
+func desired(version uint64) routing.Desired {
+	return routing.Desired{
+		Version: version, Services: []string{"desk"}, Document: fmt.Append(nil, "document ", version),
+		Routes: []routing.Route{{
+			Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: time.Second,
+			Shares: []routing.Share{{Service: "desk", Weight: 1}},
+		}},
+	}
+}
+
+func endpoint(id uint64) registry.Endpoint {
+	return registry.Endpoint{
+		ID: id, Name: fmt.Sprint("i-", id), Born: 1, Seq: 1, Service: "desk", Domain: "a", Slots: 2, State: registry.Ready,
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+}
+
+func reply() *ring.Ring[answer] { return ring.New[answer]("answer", 1, ring.DropNewest) }
+
+func only(r *ring.Ring[answer]) answer {
+	GinkgoHelper()
+	Expect(r.Depth()).To(Equal(1), "there is no answer")
+	a, _ := r.Get()
+	return a
+}
+
+var _ = Describe("desired state", func() {
+	It("is acknowledged once it is committed, and read back whole", func() {
+		c := newControl().leads()
+		put := reply()
+		c.give(putDesired{desired(7), put})
+		Expect(put.Depth()).To(BeZero(), "nothing is acknowledged before a majority has it")
+		c.commit(desired(7))
+		Expect(only(put).err).NotTo(HaveOccurred())
+		get := reply()
+		c.give(getDesired{get})
+		Expect(get.Depth()).To(BeZero(), "nothing is read before a majority confirms the lead")
+		c.give(committed{replica.Committed{Confirmed: []uint64{c.lastContext}}})
+		Expect(string(only(get).desired.Document)).To(Equal("document 7"))
+	})
+
+	// Guards against refusing a change that is sent again after its acknowledgement was lost, and
+	// against other content under the version held.
+	It("acknowledges versions that are not newer and changes nothing", func() {
+		c := newControl().leads()
+		c.commit(desired(7))
+		for c.logInbox.Depth() > 0 {
+			_, _ = c.logInbox.Get()
+		}
+		for _, version := range []uint64{7, 6} {
+			put := reply()
+			other := desired(version)
+			other.Document = []byte("other")
+			c.give(putDesired{other, put})
+			Expect(only(put).err).NotTo(HaveOccurred())
+		}
+		Expect(c.logInbox.Depth()).To(BeZero())
+		Expect(string(c.routes.Desired().Document)).To(Equal("document 7"))
+	})
+
+	// Guards against a refusal of a change that may still come into force.
+	It("leaves open what became of a change when the lead is lost or nothing is committed in time", func() {
+		c := newControl().leads()
+		lost, late := reply(), reply()
+		c.give(putDesired{desired(7), lost})
+		c.give(statusChanged{changelog.Status{ID: 1, Role: changelog.Follower, LastContact: c.time}})
+		Expect(only(lost).err).To(MatchError(ErrUnavailable))
+		c.leads()
+		c.give(putDesired{desired(8), late})
+		c.pass(answerLimit + 100*time.Millisecond)
+		Expect(only(late).err).To(MatchError(ErrUnavailable))
+	})
+
+	// Guards against old state that a host returns which is cut off.
+	It("is not read from a host that has no contact, and is sought at the leader by others", func() {
+		c := newControl()
+		get := reply()
+		c.give(getDesired{get})
+		Expect(only(get).err).To(MatchError(ErrUnavailable))
+		members := changelog.Membership{{ID: 2, Address: "127.0.0.1:2", Voter: true}}
+		c.give(statusChanged{changelog.Status{ID: 1, Leader: 2, LastContact: c.time, Members: members}})
+		c.give(getDesired{get})
+		var elsewhere NotLeaderError
+		Expect(errors.As(only(get).err, &elsewhere)).To(BeTrue())
+		Expect(elsewhere.Address).To(Equal("127.0.0.1:2"))
+		c.pass(contactAge + time.Second)
+		c.give(getDesired{get})
+		Expect(only(get).err).To(MatchError(ErrUnavailable))
+	})
+})
+
+var _ = Describe("contact", func() {
+	// Guards against entry hosts that follow a control host which has joined but lacks entries.
+	It("needs what the leader has committed", func() {
+		c := newControl()
+		status := changelog.Status{ID: 1, Leader: 2, LastContact: c.time, Commit: 3, LeaderCommit: 5}
+		c.give(statusChanged{status})
+		Expect(c.inContact()).To(BeFalse())
+		status.Commit = 5
+		c.give(statusChanged{status})
+		Expect(c.inContact()).To(BeTrue())
+	})
+})
+
+var _ = Describe("followers", func() {
+	// Guards against a control host that is busy for seconds when all entry hosts of a large
+	// site come back at once: each change of an endpoint went to each of them alone.
+	It("get the changes of many endpoints in few updates", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		outs := map[int]*ring.Ring[[]byte]{}
+		for i := range 100 {
+			outs[i] = ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
+			c.give(follow{host: fmt.Sprint("host ", i), domain: "a", out: outs[i]})
+		}
+		u := &wirepb.EndpointUpdate{}
+		for id := range uint64(150) {
+			u.Reports = append(u.Reports, wire.EndpointToProto(endpoint(id+1), 0))
+		}
+		c.give(peerUpdate{u})
+		c.pass(100 * time.Millisecond)
+		for _, out := range outs {
+			Expect(out.Depth()).To(BeNumerically("<=", 3))
+		}
+	})
+
+	// Guards against an entry host that misses a change because it reads too slowly.
+	It("get everything again after an update was lost", func() {
+		c := newControl().leads()
+		out := ring.New[[]byte]("out", 1, ring.DropNewest)
+		c.give(follow{host: "h", domain: "a", out: out})
+		c.commit(desired(1))
+		Expect(c.followers[out].behind).To(BeTrue())
+		_, _ = out.Get()
+		c.pass(100 * time.Millisecond)
+		Expect(c.followers[out].behind).To(BeFalse())
+		Expect(out.Depth()).To(Equal(1))
+	})
+})
+
+var _ = Describe("reports", func() {
+	It("of an unknown service are refused once there is a desired state", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		r, foreign := reply(), endpoint(5)
+		foreign.Service = "nobody"
+		c.give(reported{endpoint: foreign, reply: r})
+		Expect(only(r).err).To(BeAssignableToTypeOf(RefusedError{}))
+		Expect(c.registry.Len()).To(BeZero())
+	})
+
+	// Guards against an acknowledged farewell that only one control host knows.
+	It("are handed to the other control hosts before they are acknowledged", func() {
+		c := newControl().leads()
+		for c.links.Depth() > 0 {
+			_, _ = c.links.Get()
+		}
+		r, leaving := reply(), endpoint(5)
+		leaving.State = registry.Draining
+		c.give(reported{endpoint: leaving, reply: r})
+		Expect(only(r).err).NotTo(HaveOccurred())
+		Expect(c.links.Depth()).To(Equal(1))
+	})
+})
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -57,11 +57,16 @@
 func (l *Link) Connected() bool { return l.stream != nil }
 
 // Drain sends what is put into out until out is closed or the stream fails, and closes the stream.
-func Drain(out *ring.Ring[*wirepb.Envelope], stream *Stream) {
+func Drain(out *ring.Ring[*wirepb.Envelope], stream *Stream) { drain(out, stream, stream.Send) }
+
+// DrainEncoded is Drain for envelopes that Encode has returned.
+func DrainEncoded(out *ring.Ring[[]byte], stream *Stream) { drain(out, stream, stream.SendEncoded) }
+
+func drain[T any](out *ring.Ring[T], stream *Stream, send func(T) error) {
 	defer func() { _ = stream.Close() }()
 	for {
-		envelope, err := out.Get()
-		if err != nil || stream.Send(envelope) != nil {
+		v, err := out.Get()
+		if err != nil || send(v) != nil {
 			return
 		}
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -140,6 +141,24 @@
 	return s.Receive()
 }
 
+// Encode returns an envelope as it travels on a stream, so that one that goes to
+// many peers is encoded once.
+func Encode(e *wirepb.Envelope) ([]byte, error) {
+	var b bytes.Buffer
+	if _, err := protodelim.MarshalTo(&b, e); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", e.GetBody(), err)
+	}
+	return b.Bytes(), nil
+}
+
+// SendEncoded writes an envelope that Encode has returned.
+func (s *Stream) SendEncoded(frame []byte) error {
+	if _, err := s.conn.Write(frame); err != nil {
+		return fmt.Errorf("send %d bytes: %w", len(frame), err)
+	}
+	return nil
+}
+
 // Receive waits for the next envelope.
 func (s *Stream) Receive() (*wirepb.Envelope, error) {
 	e := &wirepb.Envelope{}
