--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -11,8 +11,6 @@
 // Config holds the settings of an engine.
 type Config struct {
 	Domain string // failure domain of this host
-	// AddressReuse is the time after which a dead endpoint's address may belong to another one.
-	Seed uint64 // of the choice between equally good endpoints
 }
 
 // goneGrace is the time for which packets still go to an endpoint that has said
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -113,11 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	linkAddress, err := s.link(s.Address.String())
-	if err != nil {
-		return nil, err
-	}
-	if h.listener, err = net.Listen("tcp", linkAddress); err != nil {
+	if h.listener, err = net.Listen("tcp", netip.AddrPortFrom(s.LinkHost, s.LinkPort).String()); err != nil {
 		return nil, fmt.Errorf("link address: %w", err)
 	}
 	h.addDuties(id, node, routes, clock, newCounters(registry))
--- a/internal/cluster/settings.go
+++ b/internal/cluster/settings.go
@@ -13,6 +13,7 @@
 	Domain     string         // failure domain
 	Address    netip.AddrPort // where operators and backend servers reach this host; names it to the others
 	LinkPort   uint16         // of the links between hosts, the same on all of them
+	LinkHost   netip.Addr     // where this host accepts links
 	Telemetry  netip.AddrPort
 	Seeds      []netip.AddrPort // addresses of some control hosts
 	DataFolder string
@@ -20,7 +21,6 @@
 	Tolerated  int  // control hosts that may be lost at the same time
 
 	ReportInterval time.Duration // of the reports of backend servers
-	AddressReuse   time.Duration // shortest time until a backend server's address belongs to another one
 	FlowMax        time.Duration // age up to which flows are kept
 }
 
