Add a soak that runs the real programs under random faults

The soak starts the platform's programs as separate processes on loopback addresses with stand-ins of its own for routers, callers, endpoints and operators, and injects faults from outside: signals, lost disks, torn logs, links that are delayed, reset, cut one way or silenced. It checks flows, whole answers, at most one run, foreign services, draining, reads never older than acknowledged.

--- /dev/null
+++ b/cmd/cassiawood-soak/main.go
@@ -0,0 +1,80 @@
+// Command cassiawood-soak runs the programs of the users' platform as separate
+// processes, injects faults from outside and checks the promises.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"cassiawood/platform/soak"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var (
+		o     soak.Options
+		seeds = flag.Int("seeds", 1, "number of seeds to play, from -seed on")
+		keep  = flag.Bool("keep", false, "keep logs and data of seeds that pass")
+	)
+	flag.Uint64Var(&o.Seed, "seed", uint64(time.Now().UnixNano()%1_000_000), "first `seed`; a fresh one by default")
+	flag.DurationVar(&o.Duration, "for", 20*time.Second, "`time` in which faults begin")
+	flag.StringVar(&o.Binaries, "binaries", "target", "`folder` with the programs under test")
+	flag.StringVar(&o.Folder, "folder", "", "`folder` for logs and data; a temporary one by default")
+	flag.IntVar(&o.Network, "network", 41, "second byte of the loopback addresses")
+	flag.IntVar(&o.Entries, "entries", 2, "entry hosts in each failure domain")
+	flag.IntVar(&o.Endpoints, "endpoints", 3, "endpoints of each service in each failure domain")
+	flag.IntVar(&o.Callers, "callers", 6, "callers on each route in each failure domain")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	base := o.Folder
+	if base == "" {
+		var err error
+		if base, err = os.MkdirTemp("", "cassiawood-soak"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
+	failed := 0
+	for i := range *seeds {
+		if ctx.Err() != nil {
+			return 1
+		}
+		if !play(ctx, o, o.Seed+uint64(i), base, *keep) {
+			failed++
+		}
+	}
+	fmt.Printf("%d seeds played, %d failed; logs of failed ones are in %s\n", *seeds, failed, base)
+	return min(failed, 1)
+}
+
+func play(ctx context.Context, o soak.Options, seed uint64, base string, keep bool) bool {
+	o.Seed, o.Folder = seed, filepath.Join(base, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	log, err := os.Create(filepath.Join(o.Folder, "soak.log"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	defer func() { _ = log.Close() }()
+	failures, err := soak.Run(ctx, o, os.Stdout, slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		fmt.Println("not played:", err)
+	}
+	passed := err == nil && len(failures) == 0
+	if passed && !keep {
+		_ = os.RemoveAll(o.Folder) // a folder that stays harms nothing
+	}
+	return passed
+}
