--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -31,6 +31,7 @@
 	oldest  *flow // in the order of the last packet
 	newest  *flow
 	picks   uint64
+	changes []Suspicion // since the last call of Suspicions
 }
 
 // route is a compiled route.
@@ -82,6 +83,13 @@
 // Version returns the version of the routes in force, 0 before the first ones.
 func (e *Engine) Version() uint64 { return e.version }
 
+// Suspicions returns the changes of belief since the last call.
+func (e *Engine) Suspicions() []Suspicion {
+	changes := e.changes
+	e.changes = nil
+	return changes
+}
+
 // Endpoints returns the number of known endpoints that have not ended.
 func (e *Engine) Endpoints() int {
 	count := 0
@@ -255,6 +263,6 @@
 	case ep.hasEnded(now):
 		return refuse(p, EndpointGone)
 	}
-	e.noteLater(now, p, f, ep)
-	return Decision{Verdict: Forward, Reason: ByToken, Endpoint: &ep.Endpoint, Token: ep.token}
+	repeats := e.noteLater(now, p, f, ep)
+	return Decision{Verdict: Forward, Reason: ByToken, Endpoint: &ep.Endpoint, Token: ep.token, Repeats: repeats}
 }
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -22,19 +22,30 @@
 }
 
 // noAnswer notes that a caller has repeated a packet.
-func (v *evidence) noAnswer(now time.Duration) {
-	if v.failures++; v.failures >= suspectAfter {
-		v.until = now + suspectFor
+func (e *Engine) noAnswer(now time.Duration, ep *endpoint) {
+	v := &ep.evidence
+	if v.failures++; v.failures < suspectAfter {
+		return
+	}
+	if !v.suspect(now) {
+		e.changes = append(e.changes, Suspicion{Endpoint: ep.Name, Suspect: true, Failures: v.failures})
 	}
+	v.until = now + suspectFor
 }
 
 // answered notes that a caller has acknowledged something from the endpoint.
-func (v *evidence) answered() { *v = evidence{} }
+func (e *Engine) answered(now time.Duration, ep *endpoint) {
+	if ep.evidence.suspect(now) {
+		e.changes = append(e.changes, Suspicion{Endpoint: ep.Name, Failures: ep.evidence.failures})
+	}
+	ep.evidence = evidence{}
+}
 
 func (v *evidence) suspect(now time.Duration) bool { return now < v.until }
 
-// noteLater keeps count of the flow and reads the signs of life that the packet carries.
-func (e *Engine) noteLater(now time.Duration, p Packet, f *flow, ep *endpoint) {
+// noteLater keeps count of the flow, reads the signs of life that the packet carries and
+// returns how often the caller has repeated it.
+func (e *Engine) noteLater(now time.Duration, p Packet, f *flow, ep *endpoint) int {
 	if f == nil {
 		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, answered: true, began: now, last: now, lastSeq: p.Seq, lastAck: p.Ack}
 		e.add(f)
@@ -43,9 +54,10 @@
 	}
 	if p.Flags&(FIN|RST) != 0 {
 		e.drop(f)
-		return
+		return 0
 	}
 	e.touch(now, f)
+	return f.repeats
 }
 
 func (e *Engine) observe(now time.Duration, p Packet, f *flow, ep *endpoint) {
@@ -55,11 +67,11 @@
 	switch {
 	case !f.answered || p.Ack != f.lastAck:
 		f.answered, f.repeats = true, 0
-		ep.evidence.answered()
+		e.answered(now, ep)
 	case p.Length > 0 && p.Seq == f.lastSeq:
 		// The caller repeats data that the endpoint has not acknowledged.
 		if f.repeats++; f.repeats == 1 {
-			ep.evidence.noAnswer(now)
+			e.noAnswer(now, ep)
 		}
 	}
 	f.lastAck = p.Ack
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -46,7 +46,7 @@
 // dead, full or out of reach, unless a packet was lost.
 func (e *Engine) decideCopy(now time.Duration, p Packet, f *flow, r *route) Decision {
 	if !f.answered {
-		f.endpoint.evidence.noAnswer(now)
+		e.noAnswer(now, f.endpoint)
 		// The routes may have changed since the first packet.
 		service := e.pickService(p, r)
 		ep := e.choose(now, service, f.tried)
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -105,7 +105,15 @@
 	Reason   Reason
 	Endpoint *Endpoint     // of Forward; valid until the next call
 	Token    uint32        // to write into the packet
-	Age      time.Duration // of Moved: since the first packet
+	Age      time.Duration // of a copy: since the first packet
+	Repeats  int           // how often the caller has sent the same data again without an answer
+}
+
+// Suspicion is a change of what this host believes of an endpoint.
+type Suspicion struct {
+	Endpoint string // name
+	Suspect  bool   // gets no new flows while others can take them
+	Failures int    // packets that callers have sent again since the endpoint's last answer
 }
 
 // Token returns the token of an endpoint. It is never 0, which a first packet carries.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -100,9 +100,9 @@
 	}
 }
 
-// logFlow writes a line about each flow that begins, moves or ends here.
+// logFlow writes a line about each flow that begins, moves, waits or ends here.
 func (d *engineDuty) logFlow(p affinity.Packet, decision affinity.Decision) {
-	if decision.Reason == affinity.ByToken || decision.Reason == affinity.CallerReset {
+	if decision.Reason == affinity.ByToken && decision.Repeats != 1 || decision.Reason == affinity.CallerReset {
 		return
 	}
 	if d.lines++; d.lines > flowLinesPerSecond {
@@ -111,6 +111,7 @@
 	}
 	attributes := []any{
 		"flow", p.Caller, "route", p.Service, "reason", decision.Reason.String(), "version", d.engine.Version(), "copy", p.Copy,
+		"repeats", decision.Repeats, "ageMs", decision.Age.Milliseconds(),
 	}
 	if ep := decision.Endpoint; ep != nil {
 		attributes = append(attributes, "endpoint", ep.Name, "service", ep.Service, "domain", ep.Domain, "silent", ep.Silent)
@@ -122,6 +123,9 @@
 
 func (d *engineDuty) tick() {
 	d.engine.Tick(d.now)
+	for _, s := range d.engine.Suspicions() {
+		d.log.Info("endpoint suspected", "endpoint", s.Endpoint, "suspect", s.Suspect, "failures", s.Failures)
+	}
 	if d.ticks++; d.ticks%ticksPerSecond != 0 {
 		return
 	}
