--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -261,7 +261,9 @@
 	case !slices.Contains(r.allowed, ep.Service):
 		return Decision{Verdict: Drop, Reason: ForeignToken}
 	case ep.hasEnded(now):
-		return refuse(p, EndpointGone)
+		d := refuse(p, EndpointGone)
+		d.Endpoint = &ep.Endpoint
+		return d
 	}
 	repeats := e.noteLater(now, p, f, ep)
 	return Decision{Verdict: Forward, Reason: ByToken, Endpoint: &ep.Endpoint, Token: ep.token, Repeats: repeats}
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -103,7 +103,7 @@
 type Decision struct {
 	Verdict  Verdict
 	Reason   Reason
-	Endpoint *Endpoint     // of Forward; valid until the next call
+	Endpoint *Endpoint     // of the flow, if it has one; valid until the next call
 	Token    uint32        // to write into the packet
 	Age      time.Duration // of a copy: since the first packet
 	Repeats  int           // how often the caller has sent the same data again without an answer
