--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -22,8 +22,11 @@
 	contactLimit = time.Second
 	// nearInterval is the time between tries to return to a control host of the own failure domain.
 	nearInterval = 5 * time.Second
+	// dialLimit bounds one try to connect. A first packet that is lost is repeated by TCP only
+	// after a second, so a further try finds a host that comes back sooner.
+	dialLimit = 200 * time.Millisecond
 	// retryPause is the time between connections to the same control host.
-	retryPause = 300 * time.Millisecond
+	retryPause = 200 * time.Millisecond
 	// maxConnections bounds the connections at a time.
 	maxConnections = 4
 )
@@ -190,7 +193,9 @@
 	if err != nil {
 		return err
 	}
-	session, err := wire.Dial(ctx, netip.AddrPortFrom(address.Addr(), d.settings.LinkPort).String(), nil)
+	dialling, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	session, err := wire.Dial(dialling, netip.AddrPortFrom(address.Addr(), d.settings.LinkPort).String(), nil)
 	if err != nil {
 		return err
 	}
