Send everything to an entry host in parts; drop flows that nobody answered

Besides, flows that no endpoint had answered counted as load for 15 s. Change: parts of 400 endpoints, the routes last, and no second copy while the first is on its way; flows without an answer are forgotten after 2 s. The choice of an endpoint does without a division for each candidate.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -225,9 +225,21 @@
 		}
 	})
 
-	It("forgets idle flows", func() {
+	// Guards against endpoints that are shunned for flows which they never answered.
+	It("does not count flows as load that no endpoint has answered for some time", func() {
 		e := site()
 		e.Decide(0, first(desk, caller, 0))
+		e.Tick(time.Second)
+		Expect(e.Flows()).To(Equal(1))
+		e.Tick(2 * time.Second)
+		Expect(e.Flows()).To(BeZero())
+	})
+
+	It("forgets idle flows", func() {
+		e := site()
+		token := e.Decide(0, first(desk, caller, 0)).Token
+		e.Decide(time.Second, later(desk, caller, token, 5))
+		e.Tick(10 * time.Second)
 		Expect(e.Flows()).To(Equal(1))
 		e.Tick(16 * time.Second)
 		Expect(e.Flows()).To(BeZero())
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -28,10 +28,10 @@
 	service map[string][]*endpoint       // by service, ordered by ID
 	address map[netip.AddrPort]*endpoint // newest incarnation at an address
 	flows   map[flowKey]*flow
-	oldest  *flow // in the order of the last packet
-	newest  *flow
-	picks   uint64
-	changes []Suspicion // since the last call of Suspicions
+	// pending are the flows without an answer, established the others.
+	pending, established flowList
+	picks                uint64
+	changes              []Suspicion // since the last call of Suspicions
 }
 
 // route is a compiled route.
@@ -48,7 +48,9 @@
 	goneAt   time.Duration
 	replaced bool // a newer incarnation has its address
 	collides bool // an endpoint with a lower ID has the same token
+	near     bool // in the failure domain of this host
 	open     int  // flows that this host has seen lately
+	perSlot  float64
 	evidence evidence
 }
 
@@ -151,6 +153,7 @@
 	if ep.Gone && ep.goneAt < 0 {
 		ep.goneAt = now
 	}
+	ep.near, ep.perSlot = ep.Domain == e.cfg.Domain, 1/float64(max(ep.Slots, 1))
 	e.service[ep.Service] = append(e.service[ep.Service], ep)
 	slices.SortFunc(e.service[ep.Service], byID)
 	e.claimAddress(now, ep)
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -6,6 +6,9 @@
 	// defaultIdle is used until a table names the time after which a flow without
 	// packets may be forgotten.
 	defaultIdle = 15 * time.Second
+	// pendingLimit is above the time in which a caller repeats a first packet. A flow that was
+	// not answered until then does not count as load.
+	pendingLimit = 2 * time.Second
 	// maxFlows bounds the memory of flows; the ones without packets for longest go first.
 	maxFlows = 1 << 16
 	// suspectFor is how long an endpoint that has not answered gets no new flow
@@ -66,7 +69,8 @@
 	}
 	switch {
 	case !f.answered || p.Ack != f.lastAck:
-		f.answered, f.repeats = true, 0
+		e.establish(f)
+		f.repeats = 0
 		e.answered(now, ep)
 	case p.Length > 0 && p.Seq == f.lastSeq:
 		// The caller repeats data that the endpoint has not acknowledged.
@@ -80,13 +84,22 @@
 	}
 }
 
+// add remembers a flow, among the pending ones until an endpoint has answered.
 func (e *Engine) add(f *flow) {
 	for len(e.flows) >= maxFlows {
-		e.drop(e.oldest)
+		e.dropOldest()
 	}
 	e.flows[f.key] = f
 	f.endpoint.open++
-	e.append(f)
+	e.listOf(f).append(f)
+}
+
+// listOf returns the list that holds a flow.
+func (e *Engine) listOf(f *flow) *flowList {
+	if f.answered {
+		return &e.established
+	}
+	return &e.pending
 }
 
 // reassign moves the count of a flow to the endpoint that it really has.
@@ -97,47 +110,70 @@
 }
 
 func (e *Engine) drop(f *flow) {
-	e.unlink(f)
+	e.listOf(f).remove(f)
 	delete(e.flows, f.key)
 	f.endpoint.open--
 }
 
-// touch moves a flow to the end of the list.
+func (e *Engine) dropOldest() {
+	if e.pending.oldest != nil {
+		e.drop(e.pending.oldest)
+		return
+	}
+	e.drop(e.established.oldest)
+}
+
+// establish notes that an endpoint has answered.
+func (e *Engine) establish(f *flow) {
+	if !f.answered {
+		e.pending.remove(f)
+		f.answered = true
+		e.established.append(f)
+	}
+}
+
+// touch moves a flow to the end of its list.
 func (e *Engine) touch(now time.Duration, f *flow) {
 	f.last = now
-	if e.newest != f {
-		e.unlink(f)
-		e.append(f)
+	if list := e.listOf(f); list.newest != f {
+		list.remove(f)
+		list.append(f)
+	}
+}
+
+// Tick forgets the flows that have been idle for too long.
+func (e *Engine) Tick(now time.Duration) {
+	for e.pending.oldest != nil && now-e.pending.oldest.began >= pendingLimit {
+		e.drop(e.pending.oldest)
+	}
+	for e.established.oldest != nil && now-e.established.oldest.last >= e.idle {
+		e.drop(e.established.oldest)
 	}
 }
 
-func (e *Engine) append(f *flow) {
-	f.before, f.after = e.newest, nil
-	if e.newest != nil {
-		e.newest.after = f
+// flowList is a list of flows in the order of their last packets.
+type flowList struct{ oldest, newest *flow }
+
+func (l *flowList) append(f *flow) {
+	f.before, f.after = l.newest, nil
+	if l.newest != nil {
+		l.newest.after = f
 	} else {
-		e.oldest = f
+		l.oldest = f
 	}
-	e.newest = f
+	l.newest = f
 }
 
-func (e *Engine) unlink(f *flow) {
+func (l *flowList) remove(f *flow) {
 	if f.before != nil {
 		f.before.after = f.after
 	} else {
-		e.oldest = f.after
+		l.oldest = f.after
 	}
 	if f.after != nil {
 		f.after.before = f.before
 	} else {
-		e.newest = f.before
+		l.newest = f.before
 	}
 	f.before, f.after = nil, nil
 }
-
-// Tick forgets the flows that have been idle for too long.
-func (e *Engine) Tick(now time.Duration) {
-	for e.oldest != nil && now-e.oldest.last >= e.idle {
-		e.drop(e.oldest)
-	}
-}
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -93,11 +93,18 @@
 	var best *endpoint
 	var lowest float64
 	candidates := e.service[service]
+	// The start changes with each choice, so that equally good endpoints take turns.
 	e.picks++
-	for i := range candidates {
-		// The start changes with each choice, so that equally good endpoints take turns.
-		ep := candidates[(uint64(i)+e.picks)%uint64(len(candidates))]
-		if !ep.Accepts || ep.Gone || ep.replaced || ep.collides || slices.Contains(except, ep) {
+	at := 0
+	if len(candidates) > 0 {
+		at = int(e.picks % uint64(len(candidates)))
+	}
+	for range candidates {
+		ep := candidates[at]
+		if at++; at == len(candidates) {
+			at = 0
+		}
+		if !ep.Accepts || ep.Gone || ep.replaced || ep.collides || len(except) > 0 && slices.Contains(except, ep) {
 			continue
 		}
 		if cost := e.cost(now, ep); best == nil || cost < lowest {
@@ -110,8 +117,8 @@
 // cost is the load that the endpoint would have with one more flow, weighted by
 // what else speaks against it.
 func (e *Engine) cost(now time.Duration, ep *endpoint) float64 {
-	cost := (float64(ep.open) + 1) / float64(max(ep.Slots, 1))
-	if ep.Domain != e.cfg.Domain {
+	cost := float64(ep.open+1) * ep.perSlot
+	if !ep.near {
 		cost *= foreignDomainFactor
 	}
 	if now < ep.ColdTill {
--- a/internal/cluster/followers.go
+++ b/internal/cluster/followers.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"time"
 
 	"cassiawood/internal/ring"
@@ -35,18 +36,39 @@
 // catchUp sends everything to the followers that are behind. It is encoded once
 // for all of them: after a fault of the whole site all entry hosts come at once.
 func (d *stateDuty) catchUp() {
-	var frame []byte
+	var frames [][]byte
 	for out, f := range d.followers {
-		if !f.behind {
+		// A link that is still busy with earlier updates gets everything once it is free.
+		if !f.behind || out.Depth() > 0 {
 			continue
 		}
-		if frame == nil {
-			frame = d.encode(&wirepb.EdgeUpdate{
-				Table: d.table(), Endpoints: d.allEndpoints(), Complete: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain,
-			})
+		if frames == nil {
+			frames = d.everything()
 		}
-		f.behind, f.sent = !out.Offer(frame), d.now
+		f.behind, f.sent = false, d.now
+		for _, frame := range frames {
+			f.behind = !out.Offer(frame) || f.behind
+		}
+	}
+}
+
+// partEndpoints is the number of endpoints in one part of everything. A part of about 35 kB passes
+// a link of 2 Mbit/s far within the silence after which an entry host gives up.
+const partEndpoints = 400
+
+// everything returns all that an entry host needs, in encoded parts.
+func (d *stateDuty) everything() [][]byte {
+	parts := []*wirepb.EdgeUpdate{{FirstPart: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain}}
+	for endpoints := range slices.Chunk(d.allEndpoints(), partEndpoints) {
+		parts = append(parts, &wirepb.EdgeUpdate{Endpoints: endpoints})
+	}
+	// The routes come last: with routes and no endpoints an entry host would refuse flows.
+	parts = append(parts, &wirepb.EdgeUpdate{LastPart: true, Table: d.table()})
+	var frames [][]byte
+	for _, part := range parts {
+		frames = append(frames, d.encode(part))
 	}
+	return frames
 }
 
 func (d *stateDuty) table() *wirepb.RouteTable { return wire.TableToProto(d.routes.Table()) }
--- a/internal/cluster/identity.go
+++ b/internal/cluster/identity.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return identity{}, fmt.Errorf("write the identity: %w", err)
 	}
-	logger.Info("identity made", "id", id.ID, "firstStart", s.FirstStart, "initialVoters", len(id.Initial))
+	logger.Info("identity made", "id", id.ID, "newSystem", s.FirstStart, "initialVoters", len(id.Initial))
 	return id, nil
 }
 
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -280,7 +280,7 @@
 		OnStart: func(context.Context) error {
 			h.group.Start()
 			h.log.Info("control host started", "host", h.settings.Host, "domain", h.settings.Domain, "address", h.settings.Address,
-				"firstStart", h.settings.FirstStart, "seeds", fmt.Sprint(h.settings.Seeds))
+				"newSystem", h.settings.FirstStart, "seeds", fmt.Sprint(h.settings.Seeds))
 			return nil
 		},
 		OnStop: h.stop,
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -207,6 +207,27 @@
 		Expect(c.followers[out].behind).To(BeFalse())
 		Expect(out.Depth()).To(Equal(1))
 	})
+
+	// Guards against an entry host on a slow link that gives up before a large state has arrived
+	// and then asks for it again.
+	It("get a large state in parts, and no second copy while the first one is on its way", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		for id := range uint64(3000) {
+			c.registry.Merge(endpoint(id + 1))
+		}
+		out := ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
+		c.give(follow{host: "h", domain: "a", out: out})
+		parts := out.Depth()
+		c.followers[out].behind = true
+		c.give(tick{})
+		Expect(out.Depth()).To(Equal(parts))
+		for range parts {
+			frame, err := out.Get()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(frame)).To(BeNumerically("<", 64<<10))
+		}
+	})
 })
 
 var _ = Describe("reports", func() {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -52,8 +52,9 @@
 
 	now        time.Duration
 	known      map[uint64]registry.Endpoint
-	confirmed  bool          // a majority has confirmed the state since the start
-	stateSince time.Duration // when there was a state for the first time; -1 before
+	listed     map[uint64]bool // endpoints that the control host has named since the last first part
+	confirmed  bool            // a majority has confirmed the state since the start
+	stateSince time.Duration   // when there was a state for the first time; -1 before
 	stopping   bool
 	ready      bool // last answer that was logged
 	lastPacket time.Duration
@@ -143,14 +144,18 @@
 	if p := u.GetTable(); p != nil {
 		d.setRoutes(p)
 	}
+	if u.GetFirstPart() {
+		clear(d.listed)
+	}
 	for _, report := range u.GetEndpoints() {
+		d.listed[report.GetId()] = true
 		d.upsert(report)
 	}
 	for _, id := range u.GetForgotten() {
 		d.remove(id)
 	}
-	if u.GetComplete() {
-		d.removeOthers(u.GetEndpoints())
+	if u.GetLastPart() {
+		d.removeOthers()
 	}
 	if u.GetContact() && u.GetVersion() > 0 && d.engine.Version() >= u.GetVersion() {
 		d.confirmed = true
@@ -212,13 +217,9 @@
 // removeOthers forgets the endpoints that the control host does not know and
 // that do not serve any more. The others may be unknown to it because it has
 // just started.
-func (d *engineDuty) removeOthers(complete []*wirepb.EndpointReport) {
-	listed := map[uint64]bool{}
-	for _, report := range complete {
-		listed[report.GetId()] = true
-	}
+func (d *engineDuty) removeOthers() {
 	for id, e := range d.known {
-		if !listed[id] && (e.State == registry.Gone || e.Silent) {
+		if !d.listed[id] && (e.State == registry.Gone || e.Silent) {
 			d.remove(id)
 		}
 	}
--- /dev/null
+++ b/internal/edge/engine_test.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"cassiawood/internal/affinity"
+	"cassiawood/internal/registry"
+	"cassiawood/internal/ring"
+	"cassiawood/internal/routing"
+	"cassiawood/internal/wire"
+	"cassiawood/internal/wire/wirepb"
+)
+
+// host is an engine duty whose packets go into a ring.
+type host struct {
+	*engineDuty
+	time time.Duration
+}
+
+func newEngineDuty() *host {
+	h := &host{time: time.Second}
+	h.engineDuty = &engineDuty{
+		log: slog.New(slog.DiscardHandler), engine: affinity.New(affinity.Config{Domain: "a"}),
+		out: ring.New[*datagram]("out", 16, ring.DropNewest), free: ring.New[*datagram]("free", 16, ring.DropNewest),
+		clock: func() time.Duration { return h.time }, metrics: newCounters(metrics.NewRegistry()),
+		known: map[uint64]registry.Endpoint{}, listed: map[uint64]bool{}, stateSince: -1,
+	}
+	return h
+}
+
+func routes(version uint64) *wirepb.RouteTable {
+	return wire.TableToProto(routing.Table{Version: version, Routes: []routing.TableRoute{{
+		Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []routing.Share{{Service: "desk", Weight: 1}},
+	}}})
+}
+
+func reportOf(id, seq uint64, state registry.State, silent bool) *wirepb.EndpointReport {
+	return wire.EndpointToProto(registry.Endpoint{
+		ID: id, Name: fmt.Sprint("i-", id), Born: 1, Seq: seq, Service: "desk", Domain: "a", Slots: 2, State: state, Silent: silent,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 80),
+	}, 0)
+}
+
+func (h *host) gets(u *wirepb.EdgeUpdate) {
+	GinkgoHelper()
+	Expect(h.handle(updated{u})).To(Succeed())
+}
+
+var _ = Describe("state of an entry host", func() {
+	// Guards against serving with a state that an operator's acknowledged change has replaced.
+	It("makes it ready once a majority has confirmed it, or after a wait where none answers", func() {
+		h := newEngineDuty()
+		h.gets(&wirepb.EdgeUpdate{FirstPart: true, Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
+		Expect(h.isReady()).To(BeFalse(), "there are no routes")
+		h.gets(&wirepb.EdgeUpdate{LastPart: true, Table: routes(5), Version: 5})
+		Expect(h.isReady()).To(BeFalse(), "no majority has confirmed the routes")
+		h.time += unconfirmedAfter
+		Expect(h.isReady()).To(BeTrue())
+		confirmed := newEngineDuty()
+		confirmed.gets(&wirepb.EdgeUpdate{Table: routes(5), Version: 5, Contact: true, Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
+		Expect(confirmed.isReady()).To(BeTrue())
+		Expect(confirmed.handle(stopping{})).To(Succeed())
+		Expect(confirmed.isReady()).To(BeFalse())
+	})
+
+	// Guards against new work for an endpoint that drains, after a change to a control host that
+	// has not heard of it.
+	It("keeps that an endpoint drains when a control host knows less", func() {
+		h := newEngineDuty()
+		h.gets(&wirepb.EdgeUpdate{Table: routes(1), Version: 1, Endpoints: []*wirepb.EndpointReport{reportOf(1, 9, registry.Draining, false)}})
+		h.gets(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{reportOf(1, 8, registry.Ready, false)}})
+		Expect(h.known[1].State).To(Equal(registry.Draining))
+	})
+
+	// Guards against losing endpoints when a control host has just started and knows few.
+	It("forgets only endpoints that do not serve when a control host does not name them", func() {
+		h := newEngineDuty()
+		h.gets(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{
+			reportOf(1, 1, registry.Ready, false), reportOf(2, 1, registry.Gone, false), reportOf(3, 1, registry.Ready, true),
+		}})
+		h.gets(&wirepb.EdgeUpdate{FirstPart: true})
+		h.gets(&wirepb.EdgeUpdate{LastPart: true})
+		Expect(h.known).To(HaveLen(1))
+		Expect(h.known).To(HaveKey(uint64(1)))
+	})
+
+	It("takes no routes that cannot be read and keeps the old ones", func() {
+		h := newEngineDuty()
+		h.gets(&wirepb.EdgeUpdate{Table: routes(1), Version: 1})
+		broken := routes(2)
+		broken.Routes[0].Share = []uint32{7, 1}
+		h.gets(&wirepb.EdgeUpdate{Table: broken, Version: 2})
+		Expect(h.engine.Version()).To(BeEquivalentTo(1))
+	})
+})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -230,7 +230,7 @@
 		e.from.contact = d.now
 	}
 	e.from.version = e.update.GetVersion()
-	if e.update.GetComplete() && e.update.GetDomain() != "" {
+	if e.update.GetDomain() != "" {
 		d.domains[e.from.address] = e.update.GetDomain()
 	}
 	if d.current != e.from && !d.isBetter(e) {
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -115,7 +115,7 @@
 	h.unfollow = cancel
 	engine := &engineDuty{
 		log: h.log, engine: affinity.New(affinity.Config{Domain: h.settings.Domain}), out: h.out, free: h.free,
-		clock: clock, metrics: m, known: map[uint64]registry.Endpoint{}, stateSince: -1,
+		clock: clock, metrics: m, known: map[uint64]registry.Endpoint{}, listed: map[uint64]bool{}, stateSince: -1,
 	}
 	follow := &followDuty{
 		log: h.log, settings: h.settings, inbox: h.follow, engine: h.engine, clock: clock, ctx: ctx,
