--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -34,6 +34,7 @@
 	// follow and unfollow come from streams of entry hosts.
 	follow struct {
 		host, domain string
+		chosen       bool // wants routes and endpoints
 		out          *ring.Ring[[]byte]
 	}
 	unfollow struct{ out *ring.Ring[[]byte] }
--- a/internal/cluster/followers.go
+++ b/internal/cluster/followers.go
@@ -16,21 +16,29 @@
 // follower is an entry host that gets routes and endpoints from here.
 type follower struct {
 	host, domain string
+	chosen       bool // it gets routes and endpoints, and not only heartbeats
 	behind       bool // it has to get everything, at first or because an update was lost
 	sent         time.Duration
 }
 
 func (d *stateDuty) follow(e follow) {
-	d.followers[e.out] = &follower{host: e.host, domain: e.domain, behind: true}
+	if !e.chosen {
+		// Entry hosts ask several control hosts and choose one; only that one sends everything.
+		d.followers[e.out] = &follower{host: e.host, domain: e.domain, sent: d.now}
+		e.out.Offer(d.encode(d.firstPart()))
+		return
+	}
+	d.followers[e.out] = &follower{host: e.host, domain: e.domain, chosen: true, behind: true}
 	d.log.Info("entry host follows", "host", e.host, "domain", e.domain, "version", d.routes.Desired().Version, "endpoints", d.registry.Len())
 	d.catchUp()
 }
 
 func (d *stateDuty) unfollow(e unfollow) {
-	if f, ok := d.followers[e.out]; ok {
+	f, ok := d.followers[e.out]
+	if ok && f.chosen {
 		d.log.Info("entry host has left", "host", f.host, "domain", f.domain)
-		delete(d.followers, e.out)
 	}
+	delete(d.followers, e.out)
 }
 
 // catchUp sends everything to the followers that are behind. It is encoded once
@@ -56,9 +64,14 @@
 // a link of 2 Mbit/s far within the silence after which an entry host gives up.
 const partEndpoints = 400
 
+// firstPart tells an entry host what it needs to choose a control host.
+func (d *stateDuty) firstPart() *wirepb.EdgeUpdate {
+	return &wirepb.EdgeUpdate{FirstPart: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain}
+}
+
 // everything returns all that an entry host needs, in encoded parts.
 func (d *stateDuty) everything() [][]byte {
-	parts := []*wirepb.EdgeUpdate{{FirstPart: true, ControlHosts: d.controlHosts(), Domain: d.self.Domain}}
+	parts := []*wirepb.EdgeUpdate{d.firstPart()}
 	for endpoints := range slices.Chunk(d.allEndpoints(), partEndpoints) {
 		parts = append(parts, &wirepb.EdgeUpdate{Endpoints: endpoints})
 	}
@@ -93,7 +106,7 @@
 	}
 	frame := d.encode(u)
 	for out, f := range d.followers {
-		if !f.behind {
+		if f.chosen && !f.behind {
 			f.behind, f.sent = !out.Offer(frame), d.now
 		}
 	}
@@ -135,6 +148,6 @@
 	frame := d.encode(&wirepb.EdgeUpdate{})
 	for _, out := range due {
 		f := d.followers[out]
-		f.behind, f.sent = !out.Offer(frame), d.now
+		f.behind, f.sent = !out.Offer(frame) && f.chosen, d.now
 	}
 }
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -235,7 +235,7 @@
 			go wire.DrainEncoded(out, stream)
 		}
 		f := body.EdgeFollow
-		_, err = s.state.Put(follow{host: f.GetHost(), domain: f.GetDomain(), out: out})
+		_, err = s.state.Put(follow{host: f.GetHost(), domain: f.GetDomain(), chosen: f.GetChosen(), out: out})
 	default:
 		err = fmt.Errorf("unexpected envelope %T", body)
 	}
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -182,7 +182,7 @@
 		outs := map[int]*ring.Ring[[]byte]{}
 		for i := range 100 {
 			outs[i] = ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
-			c.give(follow{host: fmt.Sprint("host ", i), domain: "a", out: outs[i]})
+			c.give(follow{host: fmt.Sprint("host ", i), domain: "a", chosen: true, out: outs[i]})
 		}
 		u := &wirepb.EndpointUpdate{}
 		for id := range uint64(150) {
@@ -199,7 +199,7 @@
 	It("get everything again after an update was lost", func() {
 		c := newControl().leads()
 		out := ring.New[[]byte]("out", 3, ring.DropNewest)
-		c.give(follow{host: "h", domain: "a", out: out})
+		c.give(follow{host: "h", domain: "a", chosen: true, out: out})
 		for version := range uint64(3) {
 			c.commit(desired(version + 1))
 		}
@@ -212,6 +212,22 @@
 		Expect(out.Depth()).To(Equal(2), "everything in two parts")
 	})
 
+	// Guards against the whole state from each control host that an entry host asks, on a slow link.
+	It("get only the first part before they choose", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		out := ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
+		c.give(follow{host: "h", domain: "a", out: out})
+		c.commit(desired(2))
+		Expect(out.Depth()).To(Equal(1))
+		c.give(follow{host: "h", domain: "a", chosen: true, out: out})
+		for out.Depth() > 0 {
+			_, _ = out.Get()
+		}
+		c.give(tick{})
+		Expect(out.Depth()).To(Equal(2), "everything in two parts")
+	})
+
 	// Guards against an entry host on a slow link that gives up before a large state has arrived
 	// and then asks for it again.
 	It("get a large state in parts, and no second copy while the first one is on its way", func() {
@@ -221,7 +237,7 @@
 			c.registry.Merge(endpoint(id + 1))
 		}
 		out := ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
-		c.give(follow{host: "h", domain: "a", out: out})
+		c.give(follow{host: "h", domain: "a", chosen: true, out: out})
 		parts := out.Depth()
 		c.followers[out].behind = true
 		c.give(tick{})
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -53,21 +53,31 @@
 	Expect(h.handle(updated{u})).To(Succeed())
 }
 
+// ready asks like the fabric does.
+func (h *host) ready() bool {
+	GinkgoHelper()
+	reply := ring.New[bool]("reply", 1, ring.DropNewest)
+	Expect(h.handle(isReady{reply})).To(Succeed())
+	answer, err := reply.Get()
+	Expect(err).NotTo(HaveOccurred())
+	return answer
+}
+
 var _ = Describe("state of an entry host", func() {
 	// Guards against serving with a state that an operator's acknowledged change has replaced.
 	It("makes it ready once a majority has confirmed it, or after a wait where none answers", func() {
 		h := newEngineDuty()
 		h.gets(&wirepb.EdgeUpdate{FirstPart: true, Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
-		Expect(h.isReady()).To(BeFalse(), "there are no routes")
+		Expect(h.ready()).To(BeFalse(), "there are no routes")
 		h.gets(&wirepb.EdgeUpdate{LastPart: true, Table: routes(5), Version: 5})
-		Expect(h.isReady()).To(BeFalse(), "no majority has confirmed the routes")
+		Expect(h.ready()).To(BeFalse(), "no majority has confirmed the routes")
 		h.time += unconfirmedAfter
-		Expect(h.isReady()).To(BeTrue())
+		Expect(h.ready()).To(BeTrue())
 		confirmed := newEngineDuty()
 		confirmed.gets(&wirepb.EdgeUpdate{Table: routes(5), Version: 5, Contact: true, Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
-		Expect(confirmed.isReady()).To(BeTrue())
+		Expect(confirmed.ready()).To(BeTrue())
 		Expect(confirmed.handle(stopping{})).To(Succeed())
-		Expect(confirmed.isReady()).To(BeFalse())
+		Expect(confirmed.ready()).To(BeFalse())
 	})
 
 	// Guards against new work for an endpoint that drains, after a change to a control host that
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -59,6 +59,8 @@
 	since   time.Duration
 	contact time.Duration // when the control host last was in contact with a majority; -1 before
 	version uint64        // of the desired state that the control host has, 0 when it has none
+	heard   bool          // the control host has said what it has
+	stream  *wire.Stream  // set before the first update is received
 }
 
 // followDuty decides which control host to follow: one of the own failure
@@ -206,8 +208,8 @@
 	if err != nil {
 		return err
 	}
-	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain}
-	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}}); err != nil {
+	c.stream = stream
+	if err := d.ask(c, false); err != nil {
 		return err
 	}
 	for {
@@ -233,18 +235,13 @@
 	if e.update.GetDomain() != "" {
 		d.domains[e.from.address] = e.update.GetDomain()
 	}
+	e.from.heard = true
 	if d.current != e.from && !d.isBetter(e) {
 		d.close(e.from)
 		return nil
 	}
 	if d.current != e.from {
-		d.log.Info("follows control host", "address", e.from.address, "contact", e.update.GetContact(), "version", e.update.GetVersion())
-		for _, other := range slices.Clone(d.connections) {
-			if other != e.from {
-				d.close(other)
-			}
-		}
-		d.current = e.from
+		d.choose(e)
 	}
 	if hosts := wire.MembersFromProto(e.update.GetControlHosts()); len(hosts) > 0 {
 		d.hosts = hosts
@@ -258,6 +255,33 @@
 	return err
 }
 
+// choose makes a connection the current one. Others that have not been heard may still turn
+// out to be better, unless this one is as good as any.
+func (d *followDuty) choose(e received) {
+	d.log.Info("follows control host", "address", e.from.address, "contact", e.update.GetContact(), "version", e.update.GetVersion())
+	best := e.update.GetContact() && e.update.GetVersion() > 0 && d.isNear(e.from.address)
+	for _, other := range slices.Clone(d.connections) {
+		if other != e.from && (best || other.heard) {
+			d.close(other)
+		}
+	}
+	d.current = e.from
+	if e.from.stream == nil {
+		return
+	}
+	go func() {
+		if err := d.ask(e.from, true); err != nil {
+			e.from.cancel() // its goroutine reports the end
+		}
+	}()
+}
+
+// ask asks a control host for its state, or only for what it has.
+func (d *followDuty) ask(c *connection, chosen bool) error {
+	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain, Chosen: chosen}
+	return c.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}})
+}
+
 // isBetter reports whether a new connection replaces the current one.
 func (d *followDuty) isBetter(e received) bool {
 	if d.current == nil {
