--- a/internal/affinity/bench_test.go
+++ b/internal/affinity/bench_test.go
@@ -7,7 +7,7 @@
 	"cassiawood/internal/affinity"
 )
 
-// benchEndpoints is the size of the grown sites.
+// benchEndpoints is the number of endpoints of a large site.
 const benchEndpoints = 150
 
 func benchSite() *affinity.Engine {
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -109,7 +109,7 @@
 	telemetry.RegisterRing(registry, h.state)
 	telemetry.RegisterRing(registry, h.links)
 	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
-	clock := newClock()
+	clock := duty.SteadyClock()
 	id, node, routes, err := h.openData(clock)
 	if err != nil {
 		return nil, err
@@ -143,12 +143,6 @@
 // SetSeeds takes over changed seeds.
 func (h *Host) SetSeeds(seeds []string) { h.state.Offer(seedsChanged{seeds: seeds}) }
 
-// newClock returns a steady clock in time since the Unix epoch.
-func newClock() func() time.Duration {
-	start := time.Now()
-	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
-}
-
 // openData reads the data folder, trying again while the disk takes no writes.
 func (h *Host) openData(clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
 	deadline := clock() + openLimit
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -74,11 +74,9 @@
 }
 
 type waitingPut struct {
-	version  uint64
-	proposed bool
-	data     []byte
-	since    time.Duration
-	reply    *ring.Ring[answer]
+	version uint64
+	since   time.Duration
+	reply   *ring.Ring[answer]
 }
 
 type waitingGet struct {
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -86,7 +86,7 @@
 	telemetry.RegisterRing(registry, h.storage)
 	telemetry.RegisterRing(registry, h.apply)
 	telemetry.RegisterRing(registry, h.audit)
-	clock := newClock()
+	clock := duty.SteadyClock()
 	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	node, state, err := h.openData(clock)
 	if err != nil {
@@ -155,13 +155,6 @@
 	return tokens, errors.Join(findings...)
 }
 
-// newClock returns a clock in time since the Unix epoch that does not jump when
-// the wall clock is set.
-func newClock() func() time.Duration {
-	start := time.Now()
-	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
-}
-
 // openData reads the data folder and returns the log and the directory as of its snapshot.
 func (h *Host) openData(clock func() time.Duration) (*changelog.Node, *directory.State, error) {
 	if err := os.MkdirAll(h.settings.DataFolder, 0o750); err != nil {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -14,6 +14,13 @@
 	"cassiawood/internal/ring"
 )
 
+// SteadyClock returns a clock in time since the Unix epoch that does not jump when
+// the wall clock is set.
+func SteadyClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+}
+
 // Duty is one loop of the process. Run returns when ctx ends or its inbox is
 // closed; it calls Begin and End around each handler so that a handler that
 // hangs can be told from a duty that waits for work.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -17,8 +17,8 @@
 	unconfirmedAfter = 2 * time.Second
 	// flowLinesPerSecond bounds the log lines about single flows.
 	flowLinesPerSecond = 50
-	// logTicks is the number of ticks between summaries.
-	ticksPerSecond = 10
+	// ticksPerSecond is the number of ticks between summaries of the log and metrics.
+	ticksPerSecond = int(time.Second / tickInterval)
 )
 
 // event is a value in the inbox of the engine duty.
