--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -110,7 +110,7 @@
 		}
 		outbox = ring.New[*wirepb.Envelope]("link-out", outboxCapacity, ring.DropOldest)
 		d.outboxes[address] = outbox
-		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), id: d.self, domain: d.settings.Domain, link: wire.NewLink(target, nil), outbox: outbox}
+		l := &link{log: d.log, peer: address, self: d.settings.Address.String(), id: d.self, domain: d.settings.Domain, link: wire.NewLink(target, nil, wire.ShortTimeouts), outbox: outbox}
 		go l.run(d.ctx)
 	}
 	outbox.Offer(e)
@@ -176,7 +176,7 @@
 }
 
 func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
-	return wire.AcceptSessions(ctx, s.logger, s.listener, nil, func(session *wire.Session) {
+	return wire.AcceptSessions(ctx, s.logger, s.listener, nil, wire.ShortTimeouts, func(session *wire.Session) {
 		for {
 			stream, err := session.Accept()
 			if err != nil {
--- a/internal/control/links.go
+++ b/internal/control/links.go
@@ -80,7 +80,7 @@
 }
 
 func (s *linkServer) run(ctx context.Context, _ *duty.Progress) error {
-	return wire.AcceptSessions(ctx, s.logger, s.listener, s.tls, s.serveSession)
+	return wire.AcceptSessions(ctx, s.logger, s.listener, s.tls, wire.DefaultTimeouts, s.serveSession)
 }
 
 func (s *linkServer) serveSession(session *wire.Session) {
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -209,7 +209,7 @@
 		}
 		outbox := ring.New[changelog.Message](fmt.Sprintf("member-%d-out", m.ID), memberOutboxCapacity, ring.DropOldest)
 		h.members[m.ID] = outbox
-		link := &memberLink{log: h.log, link: wire.NewLink(m.LinkAddress.String(), config), outbox: outbox}
+		link := &memberLink{log: h.log, link: wire.NewLink(m.LinkAddress.String(), config, wire.DefaultTimeouts), outbox: outbox}
 		h.group.Add(duty.Duty{Name: "link to " + link.link.Address(), Run: link.run})
 	}
 	logs := replica.NewLog(h.log, node, h.storage, logOutput{apply: h.apply, members: h.members})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -197,7 +197,7 @@
 	}
 	dialling, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	session, err := wire.Dial(dialling, netip.AddrPortFrom(address.Addr(), d.settings.LinkPort).String(), nil)
+	session, err := wire.Dial(dialling, netip.AddrPortFrom(address.Addr(), d.settings.LinkPort).String(), nil, wire.ShortTimeouts)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/bootstrap.go
+++ b/internal/entry/bootstrap.go
@@ -66,7 +66,7 @@
 }
 
 func (d *bootstrapDuty) ask(ctx context.Context, address string) (*directory.State, error) {
-	session, err := wire.Dial(ctx, address, d.tls)
+	session, err := wire.Dial(ctx, address, d.tls, wire.DefaultTimeouts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/control_link.go
+++ b/internal/entry/control_link.go
@@ -184,7 +184,7 @@
 		l.next++
 	}
 	l.leader = ""
-	session, err := wire.Dial(ctx, address, l.tls)
+	session, err := wire.Dial(ctx, address, l.tls, wire.DefaultTimeouts)
 	if err != nil {
 		l.unreachable, l.failedAt = address, l.now
 		l.log.Warn("control host not reached", "address", address, "error", err)
--- a/internal/entry/peer_link.go
+++ b/internal/entry/peer_link.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		link := &peerLink{
-			target: target, link: wire.NewLink(target.address, p.tls), sent: p.sent,
+			target: target, link: wire.NewLink(target.address, p.tls, wire.DefaultTimeouts), sent: p.sent,
 			outbox: ring.New[*wirepb.Envelope]("peer-out-"+host, peerOutboxCapacity, ring.DropOldest),
 		}
 		p.links[host] = link
@@ -116,7 +116,7 @@
 }
 
 func (s *peerServer) run(ctx context.Context, _ *duty.Progress) error {
-	return wire.AcceptSessions(ctx, s.log, s.listener, s.tls, s.serve)
+	return wire.AcceptSessions(ctx, s.log, s.listener, s.tls, wire.DefaultTimeouts, s.serve)
 }
 
 func (s *peerServer) serve(session *wire.Session) {
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -16,12 +16,15 @@
 type Link struct {
 	address string
 	tls     *tls.Config
+	limits  Timeouts
 	session *Session
 	stream  *Stream
 }
 
 // NewLink returns a link that is not connected yet.
-func NewLink(address string, config *tls.Config) *Link { return &Link{address: address, tls: config} }
+func NewLink(address string, config *tls.Config, t Timeouts) *Link {
+	return &Link{address: address, tls: config, limits: t}
+}
 
 // Address returns the address given to NewLink.
 func (l *Link) Address() string { return l.address }
@@ -41,7 +44,7 @@
 }
 
 func (l *Link) connect(ctx context.Context) error {
-	session, err := Dial(ctx, l.address, l.tls)
+	session, err := Dial(ctx, l.address, l.tls, l.limits)
 	if err != nil {
 		return err
 	}
@@ -82,7 +85,7 @@
 
 // AcceptSessions accepts sessions until ctx ends and serves each on a goroutine
 // of its own. The session is closed when serve returns or ctx ends.
-func AcceptSessions(ctx context.Context, log *slog.Logger, listener net.Listener, config *tls.Config,
+func AcceptSessions(ctx context.Context, log *slog.Logger, listener net.Listener, config *tls.Config, t Timeouts,
 	serve func(*Session),
 ) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -95,12 +98,12 @@
 			}
 			return fmt.Errorf("accept session: %w", err)
 		}
-		go serveConn(ctx, log, conn, config, serve)
+		go serveConn(ctx, log, conn, config, t, serve)
 	}
 }
 
-func serveConn(ctx context.Context, log *slog.Logger, conn net.Conn, config *tls.Config, serve func(*Session)) {
-	session, err := Accept(conn, config)
+func serveConn(ctx context.Context, log *slog.Logger, conn net.Conn, config *tls.Config, t Timeouts, serve func(*Session)) {
+	session, err := Accept(conn, config, t)
 	if err != nil {
 		log.Warn("session refused", "from", conn.RemoteAddr(), "error", err)
 		return
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -23,13 +23,21 @@
 	// maxMessageBytes bounds an envelope; a snapshot of the directory at 12,000
 	// endpoints is below it.
 	maxMessageBytes = 64 << 20
-	// keepAliveInterval and writeTimeout bound how long a silent partition can
-	// hold a session open.
-	keepAliveInterval = 500 * time.Millisecond
-	writeTimeout      = time.Second
-	// dialTimeout is above the round trip between distant failure domains and far below the
-	// second after which TCP repeats a lost first packet, so that a host that comes back is found soon.
-	dialTimeout = 400 * time.Millisecond
+)
+
+// Timeouts bound how long a silent partition can hold a session open.
+type Timeouts struct {
+	KeepAlive time.Duration // between probes of an idle session
+	Write     time.Duration // for a frame or the answer to a probe
+	Dial      time.Duration // for a connection, and for a TLS handshake
+}
+
+// Sets of timeouts. The short ones find a host that comes back well within the second after
+// which TCP repeats a lost first packet; their dial timeout is above the round trip between
+// distant failure domains.
+var (
+	DefaultTimeouts = Timeouts{KeepAlive: time.Second, Write: 2 * time.Second, Dial: 2 * time.Second}
+	ShortTimeouts   = Timeouts{KeepAlive: 500 * time.Millisecond, Write: time.Second, Dial: 400 * time.Millisecond}
 )
 
 // Session is a yamux session with one peer process.
@@ -45,38 +53,38 @@
 	out  *bufio.Writer
 }
 
-func muxConfig() *yamux.Config {
+func (t Timeouts) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAliveInterval
-	c.ConnectionWriteTimeout = writeTimeout
+	c.KeepAliveInterval = t.KeepAlive
+	c.ConnectionWriteTimeout = t.Write
 	c.LogOutput = io.Discard
 	return c
 }
 
 // Dial opens a session with the process at address. A nil config means plain
 // TCP, which settings allow on loopback addresses only.
-func Dial(ctx context.Context, address string, config *tls.Config) (*Session, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func Dial(ctx context.Context, address string, config *tls.Config, t Timeouts) (*Session, error) {
+	dialer := &net.Dialer{Timeout: t.Dial}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	if config != nil {
-		conn, err = clientHandshake(ctx, conn, config)
+		conn, err = clientHandshake(ctx, conn, config, t.Dial)
 		if err != nil {
 			return nil, fmt.Errorf("dial %s: %w", address, err)
 		}
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(conn, t.muxConfig())
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("open session with %s: %w", address, err), conn.Close())
 	}
 	return &Session{mux: mux}, nil
 }
 
-func clientHandshake(ctx context.Context, conn net.Conn, config *tls.Config) (net.Conn, error) {
+func clientHandshake(ctx context.Context, conn net.Conn, config *tls.Config, limit time.Duration) (net.Conn, error) {
 	secured := tls.Client(conn, config)
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if err := secured.HandshakeContext(ctx); err != nil {
 		return nil, errors.Join(fmt.Errorf("TLS handshake: %w", err), conn.Close())
@@ -85,11 +93,11 @@
 }
 
 // Accept turns an accepted connection into a session.
-func Accept(conn net.Conn, config *tls.Config) (*Session, error) {
+func Accept(conn net.Conn, config *tls.Config, t Timeouts) (*Session, error) {
 	if config != nil {
 		conn = tls.Server(conn, config)
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(conn, t.muxConfig())
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("accept session: %w", err), conn.Close())
 	}
