Reset flows of idempotent requests whose endpoint acknowledges nothing

Change: a caller's data that is sent three times in at least 0.5 s without an acknowledgement resets its flow, if the route carries idempotent requests only. The kind of a route travels with the table. A packet without data no longer counts as the first sending of the data that follows it, which made endpoints suspect for nothing.

Ruled out: resets for the age of a report, which break flows of endpoints that live.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -36,9 +36,10 @@
 
 // route is a compiled route.
 type route struct {
-	shares  []routing.Share
-	total   uint64
-	allowed []string // services of this and earlier versions
+	shares     []routing.Share
+	total      uint64
+	allowed    []string // services of this and earlier versions
+	idempotent bool     // callers may send its requests again
 }
 
 // endpoint is an endpoint and what this host has seen of it.
@@ -66,9 +67,7 @@
 	answered bool        // a packet with a token has passed
 	began    time.Duration
 	last     time.Duration
-	lastSeq  uint32
-	lastAck  uint32
-	repeats  int
+	progress progress
 	before   *flow
 	after    *flow
 }
@@ -114,7 +113,7 @@
 	}
 	routes := make(map[netip.AddrPort]*route, len(t.Routes))
 	for _, r := range t.Routes {
-		compiled := &route{shares: r.Shares, allowed: slices.Clone(r.Former)}
+		compiled := &route{shares: r.Shares, allowed: slices.Clone(r.Former), idempotent: r.Idempotent}
 		if old := e.routes[r.Address]; old != nil {
 			compiled.allowed = append(compiled.allowed, old.allowed...)
 		}
@@ -268,6 +267,10 @@
 		d.Endpoint = &ep.Endpoint
 		return d
 	}
-	repeats := e.noteLater(now, p, f, ep)
+	f, repeats := e.noteLater(now, p, f, ep)
+	if f != nil && repeats > 0 && r.idempotent && f.progress.stalled(now) {
+		e.drop(f)
+		return Decision{Verdict: Reset, Reason: Stalled, Endpoint: &ep.Endpoint, Repeats: repeats, Age: now - f.progress.sentAt}
+	}
 	return Decision{Verdict: Forward, Reason: ByToken, Endpoint: &ep.Endpoint, Token: ep.token, Repeats: repeats}
 }
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -46,42 +46,43 @@
 
 func (v *evidence) suspect(now time.Duration) bool { return now < v.until }
 
-// noteLater keeps count of the flow, reads the signs of life that the packet carries and
-// returns how often the caller has repeated it.
-func (e *Engine) noteLater(now time.Duration, p Packet, f *flow, ep *endpoint) int {
+// noteLater keeps count of the flow and reads the signs of life that the packet carries. It
+// returns the flow, nil once it has ended, and how often the packet has been repeated.
+func (e *Engine) noteLater(now time.Duration, p Packet, f *flow, ep *endpoint) (*flow, int) {
+	repeats := 0
 	if f == nil {
-		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, answered: true, began: now, last: now, lastSeq: p.Seq, lastAck: p.Ack}
+		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, answered: true, began: now, last: now, progress: progress{ack: p.Ack}}
+		f.progress.note(now, p)
 		e.add(f)
 	} else {
-		e.observe(now, p, f, ep)
+		repeats = e.observe(now, p, f, ep)
 	}
 	if p.Flags&(FIN|RST) != 0 {
 		e.drop(f)
-		return 0
+		return nil, 0
 	}
 	e.touch(now, f)
-	return f.repeats
+	return f, repeats
 }
 
-func (e *Engine) observe(now time.Duration, p Packet, f *flow, ep *endpoint) {
+func (e *Engine) observe(now time.Duration, p Packet, f *flow, ep *endpoint) int {
 	if f.endpoint != ep {
 		e.reassign(f, ep)
 	}
-	switch {
-	case !f.answered || p.Ack != f.lastAck:
+	opened := !f.answered
+	answered, repeated := f.progress.note(now, p)
+	if opened || answered {
 		e.establish(f)
-		f.repeats = 0
 		e.answered(now, ep)
-	case p.Length > 0 && p.Seq == f.lastSeq:
-		// The caller repeats data that the endpoint has not acknowledged.
-		if f.repeats++; f.repeats == 1 {
-			e.noAnswer(now, ep)
-		}
 	}
-	f.lastAck = p.Ack
-	if p.Length > 0 {
-		f.lastSeq = p.Seq
+	if !repeated {
+		return 0
+	}
+	if f.progress.repeats == 1 {
+		// The endpoint has not acknowledged the data.
+		e.noAnswer(now, ep)
 	}
+	return f.progress.repeats
 }
 
 // add remembers a flow, among the pending ones until an endpoint has answered.
--- /dev/null
+++ b/internal/affinity/stall_test.go
@@ -0,0 +1,90 @@
+package affinity_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/affinity"
+)
+
+// Times after the first sending at which callers repeat data without an acknowledgement.
+const (
+	firstRepeat  = 200 * time.Millisecond
+	secondRepeat = 600 * time.Millisecond
+)
+
+// idempotentSite is an engine whose sheet route carries idempotent requests only.
+func idempotentSite() *affinity.Engine {
+	e := site()
+	sheets := route(sheet, "sheet")
+	sheets.Idempotent = true
+	e.SetRoutes(table(2, route(desk, "desk"), sheets))
+	return e
+}
+
+// request is a packet with data of a flow that has received ack bytes.
+func request(service netip.AddrPort, port int, token, seq, ack uint32) affinity.Packet {
+	p := later(service, callerAt(port), token, ack)
+	p.Seq = seq
+	return p
+}
+
+var _ = Describe("flows without progress", func() {
+	// Guards against callers that wait for a dead or unreachable endpoint until their time is
+	// over, although another endpoint could still answer in time.
+	It("resets a flow of idempotent requests whose data has been repeated twice", func() {
+		e := idempotentSite()
+		p := request(sheet, 1, affinity.Token(11), 101, 5)
+		for _, at := range []time.Duration{0, firstRepeat} {
+			Expect(e.Decide(at, p).Verdict).To(Equal(affinity.Forward))
+		}
+		got := e.Decide(secondRepeat, p)
+		Expect(got.Verdict).To(Equal(affinity.Reset))
+		Expect(got.Reason).To(Equal(affinity.Stalled))
+		Expect(got.Endpoint.ID).To(BeEquivalentTo(11))
+		Expect(e.Flows()).To(BeZero())
+	})
+
+	// Guards against a non-idempotent request that is broken off while it could still run: its
+	// caller cannot send it again.
+	It("keeps a flow of other requests", func() {
+		e := idempotentSite()
+		p := request(desk, 1, affinity.Token(1), 101, 5)
+		for _, at := range []time.Duration{0, firstRepeat, secondRepeat, 1400 * time.Millisecond} {
+			Expect(e.Decide(at, p).Verdict).To(Equal(affinity.Forward))
+		}
+	})
+
+	// Guards against resets of flows whose endpoint answers.
+	It("keeps a flow that has made progress since", func() {
+		e := idempotentSite()
+		e.Decide(0, request(sheet, 1, affinity.Token(11), 101, 5))
+		e.Decide(firstRepeat, request(sheet, 1, affinity.Token(11), 101, 5))
+		e.Decide(firstRepeat+time.Millisecond, request(sheet, 1, affinity.Token(11), 111, 6))
+		Expect(e.Decide(secondRepeat, request(sheet, 1, affinity.Token(11), 111, 6)).Verdict).To(Equal(affinity.Forward))
+	})
+
+	// Guards against resets by a host that was suspended and reads the packets of seconds at once.
+	It("keeps a flow whose repeats come together", func() {
+		e := idempotentSite()
+		for range 5 {
+			Expect(e.Decide(time.Second, request(sheet, 1, affinity.Token(11), 101, 5)).Verdict).To(Equal(affinity.Forward))
+		}
+	})
+
+	// Guards against a false suspicion: a packet without data has the sequence number of the
+	// data that follows it, which is no repeat.
+	It("does not take the first data of a flow for a repeat", func() {
+		e := idempotentSite()
+		bare := request(sheet, 1, affinity.Token(11), 101, 5)
+		bare.Length = 0
+		e.Decide(0, bare)
+		Expect(e.Decide(time.Second, request(sheet, 1, affinity.Token(11), 101, 5)).Repeats).To(BeZero())
+		got := e.Decide(time.Second+firstRepeat, request(sheet, 1, affinity.Token(11), 101, 5))
+		Expect(got.Verdict).To(Equal(affinity.Forward))
+		Expect(got.Repeats).To(Equal(1))
+	})
+})
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -64,13 +64,14 @@
 	UnknownToken               // the token names no endpoint known here
 	ForeignToken               // the token names an endpoint of a service that the route never allowed
 	EndpointGone               // the endpoint of the flow has ended
+	Stalled                    // the endpoint acknowledges nothing, and the caller may try elsewhere
 	CallerReset                // a reset by the caller that has no endpoint to go to
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "moved", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
-	"endpoint gone", "caller reset",
+	"endpoint gone", "stalled", "caller reset",
 }
 
 func (r Reason) String() string { return reasonNames[r%reasonCount] }
@@ -105,8 +106,8 @@
 	Reason   Reason
 	Endpoint *Endpoint     // of the flow, if it has one; valid until the next call
 	Token    uint32        // to write into the packet
-	Age      time.Duration // of a copy: since the first packet
-	Repeats  int           // how often the caller has sent the same data again without an answer
+	Age      time.Duration // of a copy: since the first packet; of a stalled flow: since the data was sent first
+	Repeats  int           // how often the caller has sent the data of this packet again without an answer
 }
 
 // Suspicion is a change of what this host believes of an endpoint.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,8 @@
 	Address netip.AddrPort
 	Timeout time.Duration // of one request
 	Shares  []Share
+	// Idempotent says that all requests of the route may run more than once, so callers repeat them.
+	Idempotent bool
 }
 
 // Share is the part of a route's new flows that a service gets.
@@ -82,9 +84,10 @@
 // TableRoute is a route with the services that new flows go to and those that
 // an earlier version allowed, whose open flows stay where they are.
 type TableRoute struct {
-	Address netip.AddrPort
-	Shares  []Share
-	Former  []string
+	Address    netip.AddrPort
+	Shares     []Share
+	Former     []string
+	Idempotent bool
 }
 
 // State is the replicated state machine: the desired state of the highest version.
@@ -153,7 +156,7 @@
 func (s *State) Table() Table {
 	t := Table{Version: s.desired.Version, IdleTimeout: s.desired.IdleTimeout, Routes: make([]TableRoute, 0, len(s.desired.Routes))}
 	for _, r := range s.desired.Routes {
-		t.Routes = append(t.Routes, TableRoute{Address: r.Address, Shares: r.Shares, Former: s.former[r.Address]})
+		t.Routes = append(t.Routes, TableRoute{Address: r.Address, Shares: r.Shares, Former: s.former[r.Address], Idempotent: r.Idempotent})
 	}
 	return t
 }
--- a/internal/wire/routing.go
+++ b/internal/wire/routing.go
@@ -73,6 +73,7 @@
 	for _, r := range d.Routes {
 		p.Routes = append(p.Routes, &wirepb.Route{
 			Name: r.Name, Address: r.Address.String(), TimeoutMs: r.Timeout.Milliseconds(), Share: sharesToProto(r.Shares, d.Services),
+			Idempotent: r.Idempotent,
 		})
 	}
 	return p
@@ -88,7 +89,7 @@
 		shares, errShares := sharesFromProto(r.GetShare(), d.Services)
 		errs = append(errs, err, errShares)
 		d.Routes = append(d.Routes, routing.Route{
-			Name: r.GetName(), Address: address, Timeout: milliseconds(r.GetTimeoutMs()), Shares: shares,
+			Name: r.GetName(), Address: address, Timeout: milliseconds(r.GetTimeoutMs()), Shares: shares, Idempotent: r.GetIdempotent(),
 		})
 	}
 	if err := errors.Join(errs...); err != nil {
@@ -137,7 +138,7 @@
 		return i
 	}
 	for _, r := range t.Routes {
-		route := &wirepb.TableRoute{Address: addressToBytes(r.Address)}
+		route := &wirepb.TableRoute{Address: addressToBytes(r.Address), Idempotent: r.Idempotent}
 		for _, s := range r.Shares {
 			route.Share = append(route.Share, intern(s.Service), s.Weight)
 		}
@@ -156,7 +157,7 @@
 	for i, r := range p.GetRoutes() {
 		address, err := addressFromBytes(r.GetAddress())
 		shares, errShares := sharesFromProto(r.GetShare(), names)
-		route := routing.TableRoute{Address: address, Shares: shares}
+		route := routing.TableRoute{Address: address, Shares: shares, Idempotent: r.GetIdempotent()}
 		for _, f := range r.GetFormer() {
 			if int(f) >= len(names) {
 				return t, fmt.Errorf("route %d: former service %d of %d", i, f, len(names))
--- /dev/null
+++ b/internal/wire/routing_test.go
@@ -0,0 +1,70 @@
+package wire_test
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cassiawood/internal/routing"
+	"cassiawood/internal/wire"
+)
+
+var serviceNames = []string{"desk", "sheet", "press"}
+
+func drawShares(t *rapid.T) []routing.Share {
+	var shares []routing.Share
+	for range rapid.IntRange(1, 3).Draw(t, "shares") {
+		shares = append(shares, routing.Share{
+			Service: rapid.SampledFrom(serviceNames).Draw(t, "service"), Weight: rapid.Uint32().Draw(t, "weight"),
+		})
+	}
+	return shares
+}
+
+func drawDesired(t *rapid.T, version uint64) routing.Desired {
+	d := routing.Desired{
+		Version: version, Services: serviceNames, IdleTimeout: time.Duration(rapid.IntRange(0, 60_000).Draw(t, "idle")) * time.Millisecond,
+		Document: rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "document"),
+	}
+	for range rapid.IntRange(1, 3).Draw(t, "routes") {
+		port := rapid.Uint16().Draw(t, "port")
+		d.Routes = append(d.Routes, routing.Route{
+			Name: "r", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), port), Shares: drawShares(t),
+			Timeout:    time.Duration(rapid.IntRange(1, 9999).Draw(t, "timeout")) * time.Millisecond,
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		})
+	}
+	return d
+}
+
+// Guards against a field that is lost on the way to the log, to a snapshot or to an entry
+// host, such as whether callers may repeat the requests of a route.
+func TestRoutingSurvivesTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := routing.NewState()
+		for version := range uint64(3) {
+			d := drawDesired(t, version+1)
+			data, err := wire.EncodeDesired(d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := wire.DecodeDesired(data); err != nil || !reflect.DeepEqual(got, d) {
+				t.Fatalf("got %+v, %v; sent %+v", got, err, d)
+			}
+			state.Apply(d)
+		}
+		data, err := wire.EncodeRoutingState(state)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := wire.DecodeRoutingState(data); err != nil || !reflect.DeepEqual(got, state) {
+			t.Fatalf("got %+v, %v; sent %+v", got, err, state)
+		}
+		if got, err := wire.TableFromProto(wire.TableToProto(state.Table())); err != nil || !reflect.DeepEqual(got, state.Table()) {
+			t.Fatalf("got %+v, %v; sent %+v", got, err, state.Table())
+		}
+	})
+}
