Begin flows at once when a holding gets its first holder ever

Cause: holders of records are active hosts only. At the start of a site endpoints may announce themselves after the hosts have joined and before the first of them is active; the holdings then exist without a holder. The host that became the first holder had nobody to copy from and took the holding for lost, so a service with balance first began no flow for the 60 s that a closed flow keeps its port.

Change: a holding that this host has seen from its beginning and that never had a holder is begun when it gets one. One from before the host's start still counts as lost when nobody has it, which a second test keeps.

Before: the new test fails with "no-holder".

--- a/internal/flow/holders.go
+++ b/internal/flow/holders.go
@@ -40,6 +40,9 @@
 	whole   bool // this host has every record
 	gained  bool // an answer was whole
 	present bool // in the present table
+	// begun says that the holding has had a holder, or may have had one before this host's
+	// start. Until then there are no records that a holder could lack.
+	begun bool
 	// sources lists the holders before the last change, and lostFrom those that took the
 	// only whole copy with them. A failure domain that was cut off brings it back.
 	sources, lostFrom []string
@@ -119,11 +122,12 @@
 	wasPresent := h.head != 0 || known
 	h.present = true
 	switch {
-	case !known && !atStart:
-		h.first, h.second = first, second
+	case !known && !atStart, known && !h.begun:
+		h.first, h.second, h.begun = first, second, first != ""
 		h.whole = h.has(e.cfg.Host)
 		e.recentFlows.begin(key)
 	case !known:
+		h.begun = true
 		e.startHolding(h, first, second)
 	case first != h.first || second != h.second:
 		e.changeHolders(pos, first, second)
--- a/internal/flow/holders_test.go
+++ b/internal/flow/holders_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,4 +112,49 @@
 		Expect(dropped).To(BeNumerically(">", 0))
 		Expect(begun).To(Equal(200))
 	})
+
+	// Guards against a new service that begins no flows for a minute: a site starts, and its endpoints
+	// announce themselves after the hosts have joined and before these are active. A host that
+	// becomes the first holder of all then has nothing to copy and has lost nothing.
+	It("begins flows at once when hosts become active after the endpoints were added", func() {
+		l := &tableLog{head: directory.NewWithBuckets(modelBuckets)}
+		names := []string{"h0", "h1", "h2"}
+		for i, name := range names {
+			l.must(directory.HostAdded{Host: directory.Host{Name: name, Incarnation: 1, Domain: fmt.Sprint("d", i)}})
+		}
+		es := enginesOf(l)
+		l.document(0, 0, modelService(1, document.BalanceFirst))
+		for place := range 3 {
+			l.must(directory.EndpointAdded{Endpoint: modelEndpoint(1, place, 1, 3)})
+			es.update(0, l)
+		}
+		for _, name := range names {
+			l.must(directory.HostActivated{Name: name, Incarnation: 1})
+			es.update(0, l)
+		}
+		l.commit()
+		es.settle(l, 0)
+		for _, e := range es {
+			Expect(e.Ready().HoldingsLost).To(BeZero())
+		}
+		for i := range 100 {
+			v := es.packet(3*time.Second, names[i%3], fromCaller(i, modelService(1, 0).Address, flow.SYN, 0))
+			Expect(v.Action).To(Equal(flow.ForwardToBackend), "flow %d: %v", i, v.Reason)
+		}
+	})
+
+	// Guards against flows that are guessed: the first holder of all that a host has seen may
+	// follow others from before the host's start.
+	It("takes a holding from before its start that has no holder for lost", func() {
+		l := &tableLog{head: directory.NewWithBuckets(modelBuckets)}
+		l.must(directory.HostAdded{Host: directory.Host{Name: "h0", Incarnation: 1, Domain: "d0"}})
+		l.document(0, 0, modelService(1, document.BalanceFirst))
+		l.must(directory.EndpointAdded{Endpoint: modelEndpoint(1, 0, 1, 1)})
+		l.commit()
+		es := enginesOf(l)
+		l.must(directory.HostActivated{Name: "h0", Incarnation: 1})
+		es.update(0, l)
+		v := es.packet(3*time.Second, "h0", fromCaller(1, modelService(1, 0).Address, flow.SYN, 0))
+		Expect(v.Action).NotTo(Equal(flow.ForwardToBackend))
+	})
 })
