Keep flows in their own failure domain unless its demand exceeds the mean

A host gave an endpoint of another domain a flow as soon as its own ones had four times as many open at this host, so up to a third of the long flows crossed domains although all domains had the same load.

Change: the factor is 16. So that a domain with too many callers or too few endpoints still gets help, entry hosts tell their open flows by service once a second, control hosts add them up by domain and send the sums back, and a host gives away what is above 1.25 times the mean. The requests of an entry host to its control host go through a ring, which replaces a goroutine for each.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -31,6 +31,7 @@
 	// pending are the flows without an answer, established the others.
 	pending, established flowList
 	picks                uint64
+	picture              demandPicture
 	changes              []Suspicion // since the last call of Suspicions
 }
 
@@ -49,9 +50,9 @@
 	goneAt   time.Duration
 	replaced bool // a newer incarnation has its address
 	collides bool // an endpoint with a lower ID has the same token
-	near     bool // in the failure domain of this host
 	open     int  // flows that this host has seen lately
 	perSlot  float64
+	distance float64 // factor for its failure domain
 	evidence evidence
 }
 
@@ -152,7 +153,7 @@
 	if ep.Gone && ep.goneAt < 0 {
 		ep.goneAt = now
 	}
-	ep.near, ep.perSlot = ep.Domain == e.cfg.Domain, 1/float64(max(ep.Slots, 1))
+	ep.perSlot, ep.distance = 1/float64(max(ep.Slots, 1)), e.distance(ep)
 	e.service[ep.Service] = append(e.service[ep.Service], ep)
 	slices.SortFunc(e.service[ep.Service], byID)
 	e.claimAddress(now, ep)
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -142,8 +142,9 @@
 	}
 }
 
-// Tick forgets the flows that have been idle for too long.
+// Tick forgets the flows that have been idle for too long, and an old picture of the demand.
 func (e *Engine) Tick(now time.Duration) {
+	e.expireDemand(now)
 	for e.pending.oldest != nil && now-e.pending.oldest.began >= pendingLimit {
 		e.drop(e.pending.oldest)
 	}
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// foreignDomainFactor is how much more load an endpoint of the own failure
-	// domain may have before one of another is preferred. Links between failure
-	// domains cost money and add their delay to each packet.
-	foreignDomainFactor = 4.0
 	// coldFactor weighs an endpoint that has just started, which is slow.
 	coldFactor = 1.6
 	// Penalties order endpoints that may not answer behind all others.
@@ -104,7 +100,7 @@
 		if at++; at == len(candidates) {
 			at = 0
 		}
-		if !ep.Accepts || ep.Gone || ep.replaced || ep.collides || len(except) > 0 && slices.Contains(except, ep) {
+		if !ep.usable() || len(except) > 0 && slices.Contains(except, ep) {
 			continue
 		}
 		if cost := e.cost(now, ep); best == nil || cost < lowest {
@@ -114,13 +110,15 @@
 	return best
 }
 
+// usable reports whether new flows may go to the endpoint.
+func (ep *endpoint) usable() bool {
+	return ep.Accepts && !ep.Gone && !ep.replaced && !ep.collides
+}
+
 // cost is the load that the endpoint would have with one more flow, weighted by
 // what else speaks against it.
 func (e *Engine) cost(now time.Duration, ep *endpoint) float64 {
-	cost := float64(ep.open+1) * ep.perSlot
-	if !ep.near {
-		cost *= foreignDomainFactor
-	}
+	cost := float64(ep.open+1) * ep.perSlot * ep.distance
 	if now < ep.ColdTill {
 		cost *= coldFactor
 	}
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -81,6 +81,9 @@
 			d.endpointChanged(e, "sign of life")
 		}
 	}
+	if len(u.GetDemand()) > 0 {
+		d.peerDemand[u.GetFrom()] = demandReport{at: d.now, list: u.GetDemand()}
+	}
 	if u.GetRequestAll() {
 		all := &wirepb.EndpointUpdate{Reports: d.allEndpoints(), From: d.self.Address}
 		d.links.Offer(sendTo{address: u.GetFrom(), envelope: &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{EndpointUpdate: all}}})
--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -38,6 +38,11 @@
 		out          *ring.Ring[[]byte]
 	}
 	unfollow struct{ out *ring.Ring[[]byte] }
+	// demandReported is the demand at the entry host whose stream has the outbox.
+	demandReported struct {
+		out    *ring.Ring[[]byte]
+		demand []*wirepb.Demand
+	}
 	// peerUpdate and joinRequest come from other control hosts.
 	peerUpdate  struct{ update *wirepb.EndpointUpdate }
 	joinRequest struct{ member changelog.Member }
@@ -45,18 +50,19 @@
 	seedsChanged struct{ seeds []string }
 )
 
-func (tick) isEvent()          {}
-func (committed) isEvent()     {}
-func (statusChanged) isEvent() {}
-func (readRefused) isEvent()   {}
-func (reported) isEvent()      {}
-func (putDesired) isEvent()    {}
-func (getDesired) isEvent()    {}
-func (follow) isEvent()        {}
-func (unfollow) isEvent()      {}
-func (peerUpdate) isEvent()    {}
-func (joinRequest) isEvent()   {}
-func (seedsChanged) isEvent()  {}
+func (tick) isEvent()           {}
+func (committed) isEvent()      {}
+func (statusChanged) isEvent()  {}
+func (readRefused) isEvent()    {}
+func (reported) isEvent()       {}
+func (putDesired) isEvent()     {}
+func (getDesired) isEvent()     {}
+func (follow) isEvent()         {}
+func (unfollow) isEvent()       {}
+func (demandReported) isEvent() {}
+func (peerUpdate) isEvent()     {}
+func (joinRequest) isEvent()    {}
+func (seedsChanged) isEvent()   {}
 
 // logOutput hands what the log duty decides to the state duty and the links.
 type logOutput struct {
--- a/internal/cluster/followers.go
+++ b/internal/cluster/followers.go
@@ -19,6 +19,7 @@
 	chosen       bool // it gets routes and endpoints, and not only heartbeats
 	behind       bool // it has to get everything, at first or because an update was lost
 	sent         time.Duration
+	demand       demandReport
 }
 
 func (d *stateDuty) follow(e follow) {
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -236,6 +236,8 @@
 		}
 		f := body.EdgeFollow
 		_, err = s.state.Put(follow{host: f.GetHost(), domain: f.GetDomain(), chosen: f.GetChosen(), out: out})
+	case *wirepb.Envelope_EdgeDemand:
+		_, err = s.state.Put(demandReported{out: out, demand: body.EdgeDemand.GetDemand()})
 	default:
 		err = fmt.Errorf("unexpected envelope %T", body)
 	}
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -209,7 +209,7 @@
 			Voters: 2*s.Tolerated + 1, ReplaceAfter: replaceAfter, RemoveAfter: removeAfter, ContactAge: contactAge, Lag: maxLag,
 		},
 		routes: routes, index: node.Status().Applied, compacted: node.Status().Applied, registry: h.openRegistry(clock()), seeds: s.SeedAddresses(),
-		followers: map[*ring.Ring[[]byte]]*follower{}, unpublished: map[uint64]bool{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{}, domains: map[uint64]string{id.ID: s.Domain},
+		followers: map[*ring.Ring[[]byte]]*follower{}, unpublished: map[uint64]bool{}, gets: map[uint64]waitingGet{}, joining: map[uint64]join{}, peerDemand: map[string]demandReport{}, domains: map[uint64]string{id.ID: s.Domain},
 		status: changelog.Status{LastContact: -1},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -63,7 +63,9 @@
 	joinAt     time.Duration
 	alive      []*wirepb.SignOfLife // heard here since the last update to the others
 	spreadAt   time.Duration
-	changed    bool // the registry, since it was saved
+	peerDemand map[string]demandReport // by address of the control host
+	demandAt   time.Duration           // when the demand was spread last
+	changed    bool                    // the registry, since it was saved
 	savedAt    time.Duration
 	contact    bool // last state that was logged
 }
@@ -105,6 +107,10 @@
 		d.follow(e)
 	case unfollow:
 		d.unfollow(e)
+	case demandReported:
+		if f, ok := d.followers[e.out]; ok {
+			f.demand = demandReport{at: d.now, list: e.demand}
+		}
 	case peerUpdate:
 		d.peerUpdate(e.update)
 	case joinRequest:
@@ -130,6 +136,7 @@
 	d.changeMembership()
 	d.askToJoin()
 	d.spreadAlive()
+	d.spreadDemand()
 	d.saveRegistry()
 	d.heartbeat()
 	if contact := d.inContact(); contact != d.contact {
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -11,6 +12,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"google.golang.org/protobuf/encoding/protodelim"
+
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/registry"
 	"cassiawood/internal/replica"
@@ -37,7 +40,7 @@
 		metrics: newCounters(metrics.NewRegistry()), routes: routing.NewState(),
 		registry:  registry.New(registry.Limits{Silent: 2600 * time.Millisecond, Forget: time.Minute}),
 		followers: map[*ring.Ring[[]byte]]*follower{}, unpublished: map[uint64]bool{}, gets: map[uint64]waitingGet{},
-		joining: map[uint64]join{}, domains: map[uint64]string{}, status: changelog.Status{LastContact: -1},
+		joining: map[uint64]join{}, peerDemand: map[string]demandReport{}, domains: map[uint64]string{}, status: changelog.Status{LastContact: -1},
 	}
 	return c
 }
@@ -250,6 +253,61 @@
 	})
 })
 
+var _ = Describe("demand", func() {
+	demandOf := func(domain string, flows uint32) []*wirepb.Demand {
+		return []*wirepb.Demand{{Service: "desk", Domain: domain, Flows: flows}}
+	}
+	// received returns the flows by domain in the last picture that an entry host got.
+	received := func(out *ring.Ring[[]byte]) map[string]uint32 {
+		GinkgoHelper()
+		flows := map[string]uint32{}
+		for out.Depth() > 0 {
+			frame, err := out.Get()
+			Expect(err).NotTo(HaveOccurred())
+			e := &wirepb.Envelope{}
+			Expect(protodelim.UnmarshalFrom(bytes.NewReader(frame), e)).To(Succeed())
+			if list := e.GetEdgeUpdate().GetDemand(); len(list) > 0 {
+				clear(flows)
+				for _, x := range list {
+					flows[x.GetDomain()] += x.GetFlows()
+				}
+			}
+		}
+		return flows
+	}
+
+	// Guards against a failure domain that sends its excess to others which are as busy, since their
+	// demand is not counted.
+	It("reaches entry hosts as the sum over all control hosts", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		one := ring.New[[]byte]("one", followerCapacity, ring.DropNewest)
+		two := ring.New[[]byte]("two", followerCapacity, ring.DropNewest)
+		c.give(follow{host: "h1", domain: "a", chosen: true, out: one})
+		c.give(follow{host: "h2", domain: "a", chosen: true, out: two})
+		c.pass(time.Second)
+		c.give(demandReported{out: one, demand: demandOf("a", 5)})
+		c.give(demandReported{out: two, demand: demandOf("a", 7)})
+		c.give(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:2", Demand: demandOf("b", 30)}})
+		c.pass(demandInterval)
+		Expect(received(one)).To(Equal(map[string]uint32{"a": 12, "b": 30}))
+	})
+
+	// Guards against a domain behind a cut that looks idle, and draws flows to where they end.
+	It("is left out when it is not renewed", func() {
+		c := newControl().leads()
+		c.commit(desired(1))
+		out := ring.New[[]byte]("out", followerCapacity, ring.DropNewest)
+		c.give(follow{host: "h1", domain: "a", chosen: true, out: out})
+		c.give(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:2", Demand: demandOf("b", 30)}})
+		c.pass(demandLife + time.Second)
+		received(out)
+		c.give(demandReported{out: out, demand: demandOf("a", 5)})
+		c.pass(demandInterval)
+		Expect(received(out)).To(Equal(map[string]uint32{"a": 5}))
+	})
+})
+
 var _ = Describe("reports", func() {
 	It("of an unknown service are refused once there is a desired state", func() {
 		c := newControl().leads()
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -47,6 +47,7 @@
 	engine  *affinity.Engine
 	out     *ring.Ring[*datagram]
 	free    *ring.Ring[*datagram]
+	follow  *ring.Ring[followEvent]
 	clock   func() time.Duration
 	metrics *counters
 
@@ -134,6 +135,7 @@
 		d.log.Warn("lines about flows withheld", "count", d.withheld)
 	}
 	d.lines, d.withheld = 0, 0
+	d.follow.Offer(measured{demand: d.engine.Demand()})
 	d.metrics.flows.Update(int64(d.engine.Flows()))
 	d.metrics.version.Update(int64(d.engine.Version()))
 	d.metrics.endpoints.Update(int64(d.engine.Endpoints()))
@@ -157,6 +159,11 @@
 	if u.GetLastPart() {
 		d.removeOthers()
 	}
+	if list := u.GetDemand(); len(list) > 0 {
+		for _, x := range d.engine.SetDemand(d.now, wire.DemandFromProto(list)) {
+			d.log.Info("excess of flows", "service", x.Service, "begins", x.Begins, "flowsPerSlot", x.Load, "meanFlowsPerSlot", x.Mean, "factor", x.Factor)
+		}
+	}
 	if u.GetContact() && u.GetVersion() > 0 && d.engine.Version() >= u.GetVersion() {
 		d.confirmed = true
 	}
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -29,7 +29,8 @@
 	h.engineDuty = &engineDuty{
 		log: slog.New(slog.DiscardHandler), engine: affinity.New(affinity.Config{Domain: "a"}),
 		out: ring.New[*datagram]("out", 16, ring.DropNewest), free: ring.New[*datagram]("free", 16, ring.DropNewest),
-		clock: func() time.Duration { return h.time }, metrics: newCounters(metrics.NewRegistry()),
+		follow: ring.New[followEvent]("follow", 16, ring.DropNewest),
+		clock:  func() time.Duration { return h.time }, metrics: newCounters(metrics.NewRegistry()),
 		known: map[uint64]registry.Endpoint{}, listed: map[uint64]bool{}, stateSince: -1,
 	}
 	return h
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"cassiawood/internal/affinity"
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -45,12 +46,15 @@
 		err  error
 	}
 	seedsChanged struct{ seeds []string }
+	// measured is the demand at this host, for the control host that is followed.
+	measured struct{ demand []affinity.Demand }
 )
 
 func (followTick) isFollowEvent()   {}
 func (received) isFollowEvent()     {}
 func (ended) isFollowEvent()        {}
 func (seedsChanged) isFollowEvent() {}
+func (measured) isFollowEvent()     {}
 
 // connection follows one control host on a goroutine of its own.
 type connection struct {
@@ -60,9 +64,13 @@
 	contact time.Duration // when the control host last was in contact with a majority; -1 before
 	version uint64        // of the desired state that the control host has, 0 when it has none
 	heard   bool          // the control host has said what it has
-	stream  *wire.Stream  // set before the first update is received
+	out     *ring.Ring[*wirepb.Envelope]
 }
 
+// requestCapacity bounds what waits to be sent to a control host. Demand that finds no room
+// is measured again a second later.
+const requestCapacity = 8
+
 // followDuty decides which control host to follow: one of the own failure
 // domain that is in contact with a majority, else any in contact, else any.
 type followDuty struct {
@@ -94,6 +102,10 @@
 		d.ended(e)
 	case seedsChanged:
 		d.seeds = e.seeds
+	case measured:
+		if d.current != nil {
+			d.current.out.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeDemand{EdgeDemand: wire.DemandToProto(e.demand)}})
+		}
 	}
 	return nil
 }
@@ -146,7 +158,9 @@
 	}
 	d.tried[best] = d.now
 	ctx, cancel := context.WithCancel(d.ctx)
-	c := &connection{address: best, cancel: cancel, since: d.now, contact: -1}
+	c := &connection{
+		address: best, cancel: cancel, since: d.now, contact: -1, out: ring.New[*wirepb.Envelope]("requests", requestCapacity, ring.DropNewest),
+	}
 	d.connections = append(d.connections, c)
 	go d.run(ctx, c)
 }
@@ -208,10 +222,9 @@
 	if err != nil {
 		return err
 	}
-	c.stream = stream
-	if err := d.ask(c, false); err != nil {
-		return err
-	}
+	defer c.out.Close()
+	go wire.Drain(c.out, stream)
+	d.ask(c, false)
 	for {
 		envelope, err := stream.ReceiveWithin(silenceLimit)
 		if err != nil {
@@ -266,20 +279,13 @@
 		}
 	}
 	d.current = e.from
-	if e.from.stream == nil {
-		return
-	}
-	go func() {
-		if err := d.ask(e.from, true); err != nil {
-			e.from.cancel() // its goroutine reports the end
-		}
-	}()
+	d.ask(e.from, true)
 }
 
 // ask asks a control host for its state, or only for what it has.
-func (d *followDuty) ask(c *connection, chosen bool) error {
+func (d *followDuty) ask(c *connection, chosen bool) {
 	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain, Chosen: chosen}
-	return c.stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}})
+	c.out.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}})
 }
 
 // isBetter reports whether a new connection replaces the current one.
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.unfollow = cancel
 	engine := &engineDuty{
-		log: h.log, engine: affinity.New(affinity.Config{Domain: h.settings.Domain}), out: h.out, free: h.free,
+		log: h.log, engine: affinity.New(affinity.Config{Domain: h.settings.Domain}), out: h.out, free: h.free, follow: h.follow,
 		clock: clock, metrics: m, known: map[uint64]registry.Endpoint{}, listed: map[uint64]bool{}, stateSince: -1,
 	}
 	follow := &followDuty{
