Let entry hosts look for a control host at once and every 50 ms at first

Cause: after a fault of the whole site an entry host waited for the first tick of its clock, 0.1 s, and then 0.2 s between tries of a control host that was not up yet.

Change: the first try comes with the start, and for 2 s without a control host the pause between tries of one address is 50 ms.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -26,8 +26,13 @@
 	// dialLimit bounds one try to connect. A first packet that is lost is repeated by TCP only
 	// after a second, so a further try finds a host that comes back sooner.
 	dialLimit = 200 * time.Millisecond
-	// retryPause is the time between connections to the same control host.
+	// retryPause is the time between connections to the same control host, and eagerPause that
+	// in the first time without one: after a fault of the whole site the control hosts come back
+	// within a fraction of a second of the entry hosts.
 	retryPause = 200 * time.Millisecond
+	eagerPause = 50 * time.Millisecond
+	// eagerFor is the time without a control host after which the pause is the longer one.
+	eagerFor = 2 * time.Second
 	// maxConnections bounds the connections at a time.
 	maxConnections = 4
 )
@@ -89,6 +94,7 @@
 	connections []*connection
 	tried       map[string]time.Duration // when each address was tried last
 	nearAt      time.Duration
+	lostAt      time.Duration // when there was a current control host last, at first the start
 }
 
 func (d *followDuty) handle(e followEvent) error {
@@ -129,6 +135,14 @@
 	}
 }
 
+// pause is the time between connections to the same control host.
+func (d *followDuty) pause() time.Duration {
+	if d.current == nil && d.now-d.lostAt < eagerFor {
+		return eagerPause
+	}
+	return retryPause
+}
+
 func (d *followDuty) lastTry() time.Duration {
 	last := time.Duration(0)
 	for _, at := range d.tried {
@@ -146,7 +160,7 @@
 func (d *followDuty) connect(nearOnly bool) {
 	best, found := "", false
 	for _, address := range d.candidates() {
-		if at, ok := d.tried[address]; nearOnly && !d.isNear(address) || ok && d.now-at < retryPause {
+		if at, ok := d.tried[address]; nearOnly && !d.isNear(address) || ok && d.now-at < d.pause() {
 			continue
 		}
 		if !found || d.before(address, best) {
@@ -307,7 +321,7 @@
 	c.cancel()
 	d.connections = slices.DeleteFunc(d.connections, func(o *connection) bool { return o == c })
 	if d.current == c {
-		d.current = nil
+		d.current, d.lostAt = nil, d.now
 	}
 }
 
@@ -322,4 +336,7 @@
 	}
 	d.close(e.from)
 	d.tick()
+	if d.current == nil {
+		time.AfterFunc(d.pause(), func() { d.inbox.Offer(followTick{}) })
+	}
 }
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -63,6 +63,27 @@
 		Expect(d.current.address).To(Equal(two))
 	})
 
+	// Guards against a site that stands still after a loss of power until the entry hosts, which
+	// were back first, try their control hosts again.
+	It("tries control hosts again soon after the start, and less often later", func() {
+		d, now := follower(one)
+		tries := func(until time.Duration) int {
+			count := 0
+			for ; *now < until; *now += 10 * time.Millisecond {
+				Expect(d.handle(followTick{})).To(Succeed())
+				if c := d.connectionTo(one); c != nil {
+					count++
+					d.close(c)
+				}
+			}
+			return count
+		}
+		d.lostAt = *now
+		Expect(tries(*now + time.Second)).To(BeNumerically(">=", 19))
+		*now += eagerFor
+		Expect(tries(*now + time.Second)).To(BeNumerically("<=", 6))
+	})
+
 	// Guards against an entry host that stays with a control host which is cut off.
 	It("turns to a control host in contact when its own has lost it", func() {
 		d, now := follower(one, two)
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -109,8 +109,7 @@
 }
 
 func (h *Host) addDuties(fabric Fabric, m *counters) {
-	start := time.Now()
-	clock := func() time.Duration { return time.Since(start) }
+	clock := duty.SteadyClock()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.unfollow = cancel
 	engine := &engineDuty{
@@ -160,6 +159,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.group.Start()
+			h.follow.Offer(followTick{}) // the clock's first tick comes later
 			h.log.Info("entry host started", "host", h.settings.Host, "domain", h.settings.Domain, "packets", h.settings.Packets,
 				"seeds", fmt.Sprint(h.settings.Seeds))
 			return nil
