Search the endpoints of the own failure domain first

Change: candidates are kept by domain. The far ones are searched only if one of them, without any flow, could be cheaper than the best near one; an endpoint whose load alone exceeds the best cost is passed over. The endpoints that got a first packet are kept in the flow itself.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -214,6 +214,27 @@
 		Expect(count[2]).To(BeNumerically(">", 0))
 	})
 
+	// Guards against endpoints of other domains that get no flow although the own ones are
+	// crowded, since the search ends too early.
+	It("finds the cheapest endpoint of all, in whatever domain it is", func() {
+		e := affinity.New(affinity.Config{Domain: "a"})
+		e.SetRoutes(table(1, route(desk, "desk")))
+		for id := uint64(1); id <= 3; id++ {
+			e.Upsert(0, endpoint(id, "desk", "a"))
+		}
+		large := endpoint(4, "desk", "b")
+		large.Slots = 64
+		e.Upsert(0, large)
+		e.Upsert(0, endpoint(5, "desk", "b"))
+		count := map[uint64]int{}
+		for port := range 60 {
+			count[e.Decide(0, first(desk, callerAt(port+1), 0)).Endpoint.ID]++
+		}
+		// With f flows on each near endpoint the large one has 2f, as 64/16 is twice their 2 slots.
+		Expect(count[4]).To(BeNumerically("~", 24, 2))
+		Expect(count[1]).To(BeNumerically("~", 12, 1))
+	})
+
 	It("spreads flows evenly over equal endpoints", func() {
 		e := site()
 		count := map[uint64]int{}
--- /dev/null
+++ b/internal/affinity/candidates.go
@@ -0,0 +1,92 @@
+package affinity
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// candidates are the endpoints of a service. They are kept by failure domain, since most
+// searches can end after the own one.
+type candidates struct {
+	near, far []*endpoint // in the own domain and in others, each ordered by ID
+	// farBound is below the cost of every far endpoint, whatever its load is.
+	farBound float64
+}
+
+// all returns the endpoints in the order of near and far ones.
+func (c *candidates) all() []*endpoint {
+	if c == nil {
+		return nil
+	}
+	return slices.Concat(c.near, c.far)
+}
+
+func (c *candidates) add(ep *endpoint, near bool) {
+	list := &c.far
+	if near {
+		list = &c.near
+	}
+	at, _ := slices.BinarySearchFunc(*list, ep, func(a, b *endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	*list = slices.Insert(*list, at, ep)
+	c.updateBound()
+}
+
+func (c *candidates) remove(ep *endpoint) {
+	isIt := func(o *endpoint) bool { return o == ep }
+	c.near, c.far = slices.DeleteFunc(c.near, isIt), slices.DeleteFunc(c.far, isIt)
+	c.updateBound()
+}
+
+func (c *candidates) updateBound() {
+	c.farBound = math.Inf(1)
+	for _, ep := range c.far {
+		c.farBound = min(c.farBound, ep.perSlot*ep.distance)
+	}
+}
+
+// choose returns the endpoint with the lowest cost, or nil if there is none.
+func (e *Engine) choose(now time.Duration, service string, except []*endpoint) *endpoint {
+	c := e.service[service]
+	if c == nil {
+		return nil
+	}
+	e.picks++
+	best, lowest := e.cheapest(now, c.near, except)
+	if best != nil && lowest <= c.farBound {
+		return best
+	}
+	if far, cost := e.cheapest(now, c.far, except); best == nil || far != nil && cost < lowest {
+		return far
+	}
+	return best
+}
+
+// cheapest returns the endpoint of a list with the lowest cost. The start changes with each
+// choice, so that equally good endpoints take turns.
+func (e *Engine) cheapest(now time.Duration, list, except []*endpoint) (*endpoint, float64) {
+	var best *endpoint
+	var lowest float64
+	if len(list) == 0 {
+		return nil, 0
+	}
+	start := int(e.picks % uint64(len(list)))
+	for _, part := range [...][]*endpoint{list[start:], list[:start]} {
+		for _, ep := range part {
+			load := ep.load()
+			// The cost is not below the load.
+			if best != nil && load >= lowest || !ep.usable() || len(except) > 0 && slices.Contains(except, ep) {
+				continue
+			}
+			if cost := load + ep.penalty(now, load); best == nil || cost < lowest {
+				best, lowest = ep, cost
+			}
+		}
+	}
+	return best, lowest
+}
--- a/internal/affinity/demand.go
+++ b/internal/affinity/demand.go
@@ -45,9 +45,9 @@
 // Demand returns the demand at this host.
 func (e *Engine) Demand() []Demand {
 	var list []Demand
-	for service, endpoints := range e.service {
+	for service, c := range e.service {
 		flows := 0
-		for _, ep := range endpoints {
+		for _, ep := range c.all() {
 			flows += ep.open
 		}
 		if flows > 0 {
@@ -131,7 +131,7 @@
 // usableSlots returns the slots of the endpoints that take new flows, by domain.
 func (e *Engine) usableSlots(service string) map[string]float64 {
 	slots := map[string]float64{}
-	for _, ep := range e.service[service] {
+	for _, ep := range e.service[service].all() {
 		if ep.usable() && !ep.Silent {
 			slots[ep.Domain] += 1 / ep.perSlot
 		}
@@ -151,6 +151,9 @@
 	for _, ep := range e.byID {
 		ep.distance = e.distance(ep)
 	}
+	for _, c := range e.service {
+		c.updateBound()
+	}
 }
 
 // distance is the factor that the cost of an endpoint has for its failure domain.
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -25,7 +25,7 @@
 	routes  map[netip.AddrPort]*route
 	byToken map[uint32]*endpoint
 	byID    map[uint64]*endpoint
-	service map[string][]*endpoint       // by service, ordered by ID
+	service map[string]*candidates       // by service
 	address map[netip.AddrPort]*endpoint // newest incarnation at an address
 	flows   map[flowKey]*flow
 	// pending are the flows without an answer, established the others.
@@ -45,15 +45,16 @@
 
 // endpoint is an endpoint and what this host has seen of it.
 type endpoint struct {
-	Endpoint
+	// The load comes first, so that a search touches one cache line of most endpoints.
+	open     int // flows that this host has seen lately
+	perSlot  float64
+	distance float64 // factor for its failure domain
+	evidence evidence
 	token    uint32
 	goneAt   time.Duration
 	replaced bool // a newer incarnation has its address
 	collides bool // an endpoint with a lower ID has the same token
-	open     int  // flows that this host has seen lately
-	perSlot  float64
-	distance float64 // factor for its failure domain
-	evidence evidence
+	Endpoint
 }
 
 // flowKey identifies a flow.
@@ -65,19 +66,21 @@
 	seq      uint32 // of the first packet
 	endpoint *endpoint
 	tried    []*endpoint // endpoints that got the first packet; nil when it did not pass here
-	answered bool        // a packet with a token has passed
-	began    time.Duration
-	last     time.Duration
-	progress progress
-	before   *flow
-	after    *flow
+	// triedSpace holds them: callers send a first packet three times.
+	triedSpace [3]*endpoint
+	answered   bool // a packet with a token has passed
+	began      time.Duration
+	last       time.Duration
+	progress   progress
+	before     *flow
+	after      *flow
 }
 
 // New returns an engine without routes and endpoints.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg: cfg, idle: defaultIdle, routes: map[netip.AddrPort]*route{}, byToken: map[uint32]*endpoint{},
-		byID: map[uint64]*endpoint{}, service: map[string][]*endpoint{}, address: map[netip.AddrPort]*endpoint{},
+		byID: map[uint64]*endpoint{}, service: map[string]*candidates{}, address: map[netip.AddrPort]*endpoint{},
 		flows: map[flowKey]*flow{},
 	}
 }
@@ -154,18 +157,10 @@
 		ep.goneAt = now
 	}
 	ep.perSlot, ep.distance = 1/float64(max(ep.Slots, 1)), e.distance(ep)
-	e.service[ep.Service] = append(e.service[ep.Service], ep)
-	slices.SortFunc(e.service[ep.Service], byID)
+	e.addToService(ep)
 	e.claimAddress(now, ep)
 }
 
-func byID(a, b *endpoint) int {
-	if a.ID < b.ID {
-		return -1
-	}
-	return 1
-}
-
 // addToken makes the endpoint findable by its token. Of two endpoints with the
 // same token only the one with the lower ID is used, on every host.
 func (e *Engine) addToken(ep *endpoint) {
@@ -199,8 +194,19 @@
 	}
 }
 
+func (e *Engine) addToService(ep *endpoint) {
+	c := e.service[ep.Service]
+	if c == nil {
+		c = &candidates{}
+		e.service[ep.Service] = c
+	}
+	c.add(ep, ep.Domain == e.cfg.Domain)
+}
+
 func (e *Engine) removeFromService(ep *endpoint) {
-	e.service[ep.Service] = slices.DeleteFunc(e.service[ep.Service], func(o *endpoint) bool { return o == ep })
+	if c := e.service[ep.Service]; c != nil {
+		c.remove(ep)
+	}
 }
 
 // Remove forgets an endpoint.
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -1,7 +1,6 @@
 package affinity
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,7 +31,8 @@
 	if f != nil {
 		e.drop(f)
 	}
-	f = &flow{key: key, seq: p.Seq, endpoint: ep, tried: []*endpoint{ep}, began: now, last: now}
+	f = &flow{key: key, seq: p.Seq, endpoint: ep, began: now, last: now}
+	f.tried = append(f.triedSpace[:0], ep)
 	e.add(f)
 	return Decision{Verdict: Forward, Reason: Placed, Endpoint: &ep.Endpoint, Token: ep.token}
 }
@@ -84,49 +84,28 @@
 	return shares[0].Service
 }
 
-// choose returns the endpoint with the lowest cost, or nil if there is none.
-func (e *Engine) choose(now time.Duration, service string, except []*endpoint) *endpoint {
-	var best *endpoint
-	var lowest float64
-	candidates := e.service[service]
-	// The start changes with each choice, so that equally good endpoints take turns.
-	e.picks++
-	at := 0
-	if len(candidates) > 0 {
-		at = int(e.picks % uint64(len(candidates)))
-	}
-	for range candidates {
-		ep := candidates[at]
-		if at++; at == len(candidates) {
-			at = 0
-		}
-		if !ep.usable() || len(except) > 0 && slices.Contains(except, ep) {
-			continue
-		}
-		if cost := e.cost(now, ep); best == nil || cost < lowest {
-			best, lowest = ep, cost
-		}
-	}
-	return best
-}
-
 // usable reports whether new flows may go to the endpoint.
 func (ep *endpoint) usable() bool {
 	return ep.Accepts && !ep.Gone && !ep.replaced && !ep.collides
 }
 
-// cost is the load that the endpoint would have with one more flow, weighted by
-// what else speaks against it.
-func (e *Engine) cost(now time.Duration, ep *endpoint) float64 {
-	cost := float64(ep.open+1) * ep.perSlot * ep.distance
+// load is the number of flows a slot that the endpoint would have with one more,
+// weighted by its failure domain.
+func (ep *endpoint) load() float64 {
+	return float64(ep.open+1) * ep.perSlot * ep.distance
+}
+
+// penalty is what speaks against the endpoint besides its load.
+func (ep *endpoint) penalty(now time.Duration, load float64) float64 {
+	penalty := 0.0
 	if now < ep.ColdTill {
-		cost *= coldFactor
+		penalty += load * (coldFactor - 1)
 	}
 	if ep.evidence.suspect(now) {
-		cost += suspectPenalty
+		penalty += suspectPenalty
 	}
 	if ep.Silent {
-		cost += silentPenalty
+		penalty += silentPenalty
 	}
-	return cost
+	return penalty
 }
