Serve latency histograms, let the soak harm disks, guard against the time of day

- Histograms on the metrics address: the way of a packet through an entry host (each 32nd), confirmed reads, statements of backend servers.
There was one, of commits.
- cassiawood-soak switches disks of control hosts to full, stalled and slow through a setting of the program (wal.FaultyFS), off in production.
- A test of internal/arch keeps the time of day out of the decisions on the platform. duty.SteadyClock reads it once, so entry hosts now count their eager tries of control hosts from their own start; since the shared clock that time was over at once.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -104,3 +104,24 @@
 		}
 	})
 })
+
+var _ = Describe("the processes of the users' platform", func() {
+	// timeOfDay are uses of the time of day, which jumps. Waits and ages come from duty.SteadyClock,
+	// which reads it once at the start and counts on by a clock that does not jump.
+	timeOfDay := []string{".Unix()", ".UnixMilli()", ".UnixMicro()", ".UnixNano()", "time.Date(", "time.Unix(", ".Round(0)"}
+
+	// Guards against elections, leases and resets that follow a step of the time of day.
+	It("make no decision by the time of day", func() {
+		for _, pkg := range []string{"affinity", "changelog", "changelog/wal", "cluster", "edge", "registry", "replica", "routing", "voters", "wire"} {
+			files := sourceFiles(pkg)
+			Expect(files).NotTo(BeEmpty(), pkg)
+			for _, file := range files {
+				source, err := os.ReadFile(file)
+				Expect(err).NotTo(HaveOccurred())
+				for _, use := range timeOfDay {
+					Expect(string(source)).NotTo(ContainSubstring(use), file)
+				}
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/changelog/wal/faults_test.go
@@ -0,0 +1,67 @@
+package wal_test
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cassiawood/internal/changelog/wal"
+)
+
+var _ = Describe("FaultyFS", func() {
+	var disk wal.FaultyFS
+	var sleeps []time.Duration
+	var onSleep func()
+	flip := func(text string) {
+		GinkgoHelper()
+		Expect(os.WriteFile(disk.Switch, []byte(text), 0o600)).To(Succeed())
+	}
+	BeforeEach(func() {
+		folder := GinkgoT().TempDir()
+		dir, err := wal.NewDir(filepath.Join(folder, "log"))
+		Expect(err).NotTo(HaveOccurred())
+		sleeps, onSleep = nil, func() {}
+		disk = wal.FaultyFS{FS: dir, Switch: filepath.Join(folder, "disk"), Sleep: func(d time.Duration) {
+			sleeps = append(sleeps, d)
+			onSleep()
+		}}
+	})
+
+	// Guards against a soak whose faults do nothing.
+	It("refuses writes while the disk is full and keeps what was saved", func() {
+		s, _, err := wal.Open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Save(ready(1, entry(1, 1)))).To(Succeed())
+		flip("full")
+		Expect(s.Save(ready(1, entry(2, 1)))).To(MatchError(syscall.ENOSPC))
+		flip("")
+		_, recovered, err := wal.Open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recovered.Entries).To(HaveLen(1))
+	})
+
+	It("holds up syncs until the stall is over", func() {
+		s, _, err := wal.Open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		flip("stall")
+		onSleep = func() {
+			if len(sleeps) == 3 {
+				flip("slow 7ms")
+			}
+		}
+		Expect(s.Save(ready(1, entry(1, 1)))).To(Succeed())
+		Expect(sleeps).To(HaveLen(4))
+		Expect(sleeps[3]).To(Equal(7 * time.Millisecond))
+	})
+
+	It("names a switch that it does not understand", func() {
+		s, _, err := wal.Open(disk)
+		Expect(err).NotTo(HaveOccurred())
+		flip("slow down")
+		Expect(s.Save(ready(1, entry(1, 1)))).To(MatchError(ContainSubstring("switch of disk faults")))
+	})
+})
--- a/internal/cluster/api.go
+++ b/internal/cluster/api.go
@@ -11,7 +11,11 @@
 
 // API is what front ends ask of a control host. Its methods may be called from
 // any goroutine and wait for the answer.
-type API struct{ inbox *ring.Ring[event] }
+type API struct {
+	inbox   *ring.Ring[event]
+	clock   func() time.Duration
+	metrics *counters
+}
 
 // ErrUnavailable says that this host cannot answer now; another one may, or
 // this one later. A change may still come into force.
@@ -39,7 +43,9 @@
 // Report takes a statement of a backend server. It returns after the statement
 // was merged and handed to the links to the other hosts. Heard is set by the duty.
 func (a API) Report(e registry.Endpoint, coldFor time.Duration) error {
+	since := a.clock()
 	_, err := a.ask(func(reply *ring.Ring[answer]) event { return reported{endpoint: e, coldFor: coldFor, reply: reply} })
+	a.metrics.report.Update((a.clock() - since).Microseconds())
 	return err
 }
 
--- a/internal/cluster/desired.go
+++ b/internal/cluster/desired.go
@@ -87,6 +87,7 @@
 	if a.err == nil && a.desired.Version == 0 {
 		a.err = fmt.Errorf("no desired state yet: %w", ErrUnavailable)
 	}
+	d.metrics.confirm.Update((d.now - g.since).Microseconds())
 	g.reply.Offer(a)
 }
 
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -85,6 +85,8 @@
 	linksDuty *linksDuty
 	listener  net.Listener
 	stopLinks context.CancelFunc
+	clock     func() time.Duration
+	metrics   *counters
 }
 
 // Module provides a *Host for fx. It needs Settings, *slog.Logger and metrics.Registry.
@@ -92,7 +94,10 @@
 
 type counters struct {
 	reports metrics.Counter
-	commit  metrics.Histogram // microseconds from an operator's change to its acknowledgement
+	// Histograms in microseconds.
+	commit  metrics.Histogram // from an operator's change to its acknowledgement
+	confirm metrics.Histogram // from an operator's read to its answer
+	report  metrics.Histogram // from a statement of a backend server to its acknowledgement
 }
 
 func newHost(s Settings, log *slog.Logger, registry metrics.Registry, shutdown fx.Shutdowner) (*Host, error) {
@@ -109,15 +114,15 @@
 	telemetry.RegisterRing(registry, h.state)
 	telemetry.RegisterRing(registry, h.links)
 	h.group = duty.NewGroup(log, handlerLimit, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
-	clock := duty.SteadyClock()
-	id, node, routes, err := h.openData(clock)
+	h.clock, h.metrics = duty.SteadyClock(), newCounters(registry)
+	id, node, routes, err := h.openData(h.clock)
 	if err != nil {
 		return nil, err
 	}
 	if h.listener, err = net.Listen("tcp", netip.AddrPortFrom(s.LinkHost, s.LinkPort).String()); err != nil {
 		return nil, fmt.Errorf("link address: %w", err)
 	}
-	h.addDuties(id, node, routes, clock, newCounters(registry))
+	h.addDuties(id, node, routes, h.clock, h.metrics)
 	pages, err := telemetry.NewServer(s.Telemetry.String(), registry, nil)
 	if err != nil {
 		return nil, err
@@ -127,15 +132,16 @@
 }
 
 func newCounters(registry metrics.Registry) *counters {
-	const reservoir = 1028 // the default of the metrics library
 	return &counters{
 		reports: metrics.NewRegisteredCounter("endpoint.reports", registry),
-		commit:  metrics.NewRegisteredHistogram("desired.commit.microseconds", registry, metrics.NewExpDecaySample(reservoir, 0.015)),
+		commit:  telemetry.NewHistogram("desired.commit.microseconds", registry),
+		confirm: telemetry.NewHistogram("desired.read.microseconds", registry),
+		report:  telemetry.NewHistogram("endpoint.report.microseconds", registry),
 	}
 }
 
 // API returns the questions that front ends may ask.
-func (h *Host) API() API { return API{inbox: h.state} }
+func (h *Host) API() API { return API{inbox: h.state, clock: h.clock, metrics: h.metrics} }
 
 // Add adds a duty of a front end. It must be called before the start.
 func (h *Host) Add(d duty.Duty) { h.group.Add(d) }
@@ -162,9 +168,9 @@
 	if err != nil {
 		return fail(err)
 	}
-	folder, err := wal.NewDir(filepath.Join(h.settings.DataFolder, logFolder))
+	folder, err := h.openFolder()
 	if err != nil {
-		return fail(fmt.Errorf("dataFolder: %w", err))
+		return fail(err)
 	}
 	store, recovered, err := wal.Open(folder)
 	var corrupt *wal.CorruptError
@@ -195,6 +201,9 @@
 		return fail(errors.Join(fmt.Errorf("start the log: %w", err), store.Close()))
 	}
 	h.store = store
+	if h.settings.DiskFaults != "" {
+		h.log.Warn("disk faults can be switched on, for tests only", "switch", h.settings.DiskFaults)
+	}
 	h.log.Info("data folder opened", "id", id.ID, "lastIndex", node.Status().LastIndex, "term", node.Status().Term,
 		"snapshotVersion", routes.Desired().Version, "members", fmt.Sprint(node.Status().Members))
 	return id, node, routes, nil
@@ -234,9 +243,25 @@
 	}))
 }
 
+// openFolder returns the folder of the log.
+func (h *Host) openFolder() (wal.FS, error) {
+	folder, err := wal.NewDir(filepath.Join(h.settings.DataFolder, logFolder))
+	if err != nil {
+		return nil, fmt.Errorf("dataFolder: %w", err)
+	}
+	if h.settings.DiskFaults == "" {
+		return folder, nil
+	}
+	return wal.FaultyFS{FS: folder, Switch: h.settings.DiskFaults, Sleep: time.Sleep}, nil
+}
+
 // reopen opens the files of the log again after a failed write.
 func (h *Host) reopen() (replica.Store, error) {
-	store, _, err := wal.Open(wal.Dir(filepath.Join(h.settings.DataFolder, logFolder)))
+	folder, err := h.openFolder()
+	if err != nil {
+		return nil, err
+	}
+	store, _, err := wal.Open(folder)
 	return store, err
 }
 
--- a/internal/cluster/settings.go
+++ b/internal/cluster/settings.go
@@ -22,6 +22,8 @@
 
 	ReportInterval time.Duration // of the reports of backend servers
 	FlowMax        time.Duration // age up to which flows are kept
+
+	DiskFaults string // switch file of disk faults for tests, see wal.FaultyFS; empty in production
 }
 
 // link returns the address of the links of the control host at address.
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -58,6 +58,7 @@
 	flows     metrics.Gauge
 	version   metrics.Gauge
 	endpoints metrics.Gauge
+	delay     metrics.Histogram // microseconds from the receipt of a packet to its sending, of some packets
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -67,6 +68,7 @@
 		flows:     metrics.NewRegisteredGauge("flows.remembered", r),
 		version:   metrics.NewRegisteredGauge("desired.version", r),
 		endpoints: metrics.NewRegisteredGauge("endpoints.known", r),
+		delay:     telemetry.NewHistogram("packets.delay.microseconds", r),
 	}
 	for _, reason := range affinity.Reasons() {
 		c.decisions = append(c.decisions, metrics.NewRegisteredCounter("packets."+reason.String(), r))
@@ -119,9 +121,10 @@
 	follow := &followDuty{
 		log: h.log, settings: h.settings, inbox: h.follow, engine: h.engine, clock: clock, ctx: ctx,
 		seeds: h.settings.SeedAddresses(), tried: map[string]time.Duration{}, domains: map[string]string{},
+		lostAt: clock(),
 	}
-	in := &reader{socket: h.socket, fabric: fabric, free: h.free, engine: h.engine, metrics: m}
-	out := &writer{log: h.log, socket: h.socket, fabric: fabric, free: h.free, metrics: m}
+	in := &reader{socket: h.socket, fabric: fabric, free: h.free, engine: h.engine, clock: clock, metrics: m}
+	out := &writer{log: h.log, socket: h.socket, fabric: fabric, free: h.free, clock: clock, metrics: m}
 	h.group.Add(duty.Duty{Name: "packet reader", Run: in.run})
 	h.group.Add(duty.FromRing("engine", h.engine, engine.handle))
 	h.group.Add(duty.FromRing("packet writer", h.out, out.handle))
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"cassiawood/internal/affinity"
 	"cassiawood/internal/duty"
@@ -27,8 +28,13 @@
 	to       netip.AddrPort // of the endpoint
 	endpoint uint64
 	token    uint32
+	received time.Duration // 0 when the delay of this packet is not measured
 }
 
+// delaySample is how many packets come for each one whose delay is measured: reading
+// the clock for each would cost as much as the decision.
+const delaySample = 32
+
 func (d *datagram) bytes() []byte { return d.buf[:d.length] }
 
 // reader reads datagrams. When none is free it stops reading, and the kernel
@@ -38,7 +44,9 @@
 	fabric  Fabric
 	free    *ring.Ring[*datagram]
 	engine  *ring.Ring[event]
+	clock   func() time.Duration
 	metrics *counters
+	count   int
 }
 
 func (r *reader) run(ctx context.Context, _ *duty.Progress) error {
@@ -71,7 +79,10 @@
 		case err != nil:
 			return err
 		}
-		d.length = n
+		d.length, d.received = n, 0
+		if r.count++; r.count%delaySample == 0 {
+			d.received = r.clock()
+		}
 		if d.packet, err = r.fabric.Decode(d.bytes()); err == nil {
 			return nil
 		}
@@ -85,6 +96,7 @@
 	socket  *net.UDPConn
 	fabric  Fabric
 	free    *ring.Ring[*datagram]
+	clock   func() time.Duration
 	metrics *counters
 	buf     []byte
 }
@@ -96,11 +108,15 @@
 	} else {
 		w.buf, to = w.fabric.Reset(w.buf[:0], d.packet)
 	}
+	received := d.received
 	w.free.Offer(d)
 	// A datagram that cannot be sent now is a lost packet, which the ends repeat.
 	if _, err := w.socket.WriteToUDPAddrPort(w.buf, to); err != nil {
 		w.metrics.unsent.Inc(1)
 		w.log.Debug("packet not sent", "to", to, "error", err)
 	}
+	if received > 0 {
+		w.metrics.delay.Update((w.clock() - received).Microseconds())
+	}
 	return nil
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -29,6 +29,18 @@
 	gauge("drops", func() int64 { return int64(r.Drops()) })
 }
 
+// The reservoir of a histogram, by the defaults of the metrics library: its quantiles
+// are those of the last five minutes or so.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// NewHistogram adds a histogram to the registry.
+func NewHistogram(name string, registry metrics.Registry) metrics.Histogram {
+	return metrics.NewRegisteredHistogram(name, registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+}
+
 // MetricsHandler serves the registry: JSON by default, the Prometheus text
 // format at a path that ends in /metrics.
 func MetricsHandler(registry metrics.Registry) http.Handler {
