Turn from a control host that stalls before its state is complete

Change: an entry host whose state is not complete looks for another control host after 0.5 s of silence. One that has a state still waits for 1 s: at many entry hosts each turn costs a copy of everything.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -18,6 +18,10 @@
 	// silenceLimit ends the connection to a control host, which sends something
 	// every 300 ms.
 	silenceLimit = time.Second
+	// quietLimit is the silence after which a host whose state is not complete looks for another
+	// control host. A host with a state waits longer: at many entry hosts, each turn costs a
+	// copy of everything.
+	quietLimit = 500 * time.Millisecond
 	// contactLimit is how long a control host may be without contact to a majority
 	// before another one is tried beside it.
 	contactLimit = time.Second
@@ -68,7 +72,8 @@
 	since   time.Duration
 	contact time.Duration // when the control host last was in contact with a majority; -1 before
 	version uint64        // of the desired state that the control host has, 0 when it has none
-	heard   bool          // the control host has said what it has
+	heard   time.Duration // when the control host has sent something last; -1 before
+	whole   bool          // it has sent everything that it knows
 	out     *ring.Ring[*wirepb.Envelope]
 }
 
@@ -120,7 +125,7 @@
 func (d *followDuty) tick() {
 	switch {
 	case len(d.connections) >= maxConnections:
-	case d.current == nil || d.current.version == 0:
+	case d.current == nil || d.current.version == 0 || d.isStalled():
 		// Several at once, since a host that is down or has lost its disk takes long to show it.
 		d.connect(false)
 		d.connect(false)
@@ -135,6 +140,12 @@
 	}
 }
 
+// isStalled reports whether the control host that is followed has sent a part of its state
+// and then nothing more.
+func (d *followDuty) isStalled() bool {
+	return !d.current.whole && d.now-d.current.heard > quietLimit
+}
+
 // pause is the time between connections to the same control host.
 func (d *followDuty) pause() time.Duration {
 	if d.current == nil && d.now-d.lostAt < eagerFor {
@@ -173,7 +184,7 @@
 	d.tried[best] = d.now
 	ctx, cancel := context.WithCancel(d.ctx)
 	c := &connection{
-		address: best, cancel: cancel, since: d.now, contact: -1, out: ring.New[*wirepb.Envelope]("requests", requestCapacity, ring.DropNewest),
+		address: best, cancel: cancel, since: d.now, contact: -1, heard: -1, out: ring.New[*wirepb.Envelope]("requests", requestCapacity, ring.DropNewest),
 	}
 	d.connections = append(d.connections, c)
 	go d.run(ctx, c)
@@ -262,7 +273,8 @@
 	if e.update.GetDomain() != "" {
 		d.domains[e.from.address] = e.update.GetDomain()
 	}
-	e.from.heard = true
+	e.from.heard = d.now
+	e.from.whole = e.from.whole || e.update.GetLastPart()
 	if d.current != e.from && !d.isBetter(e) {
 		d.close(e.from)
 		return nil
@@ -288,7 +300,7 @@
 	d.log.Info("follows control host", "address", e.from.address, "contact", e.update.GetContact(), "version", e.update.GetVersion())
 	best := e.update.GetContact() && e.update.GetVersion() > 0 && d.isNear(e.from.address)
 	for _, other := range slices.Clone(d.connections) {
-		if other != e.from && (best || other.heard) {
+		if other != e.from && (best || other.heard >= 0) {
 			d.close(other)
 		}
 	}
@@ -304,7 +316,7 @@
 
 // isBetter reports whether a new connection replaces the current one.
 func (d *followDuty) isBetter(e received) bool {
-	if d.current == nil {
+	if d.current == nil || d.isStalled() {
 		return true
 	}
 	if has, had := e.update.GetVersion() > 0, d.current.version > 0; has != had {
