Keep endpoints in their list when only their state changes

Cause: each report that an entry host takes over removed the endpoint from the list of its service and put it back, with a pass over the list for the bound of far endpoints. With 3,000 endpoints everything from a control host would cost 27 million steps.

Change: the list changes only with service or domain; the bound may be lower than needed for up to a second. The end of an excess is logged also when the picture of the demand has become too old.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -214,6 +214,20 @@
 		Expect(count[2]).To(BeNumerically(">", 0))
 	})
 
+	// Guards against flows of a service on an endpoint that has started again for another one.
+	It("places flows by the service of the newest incarnation", func() {
+		e := site()
+		reborn := endpoint(1, "sheet", "b")
+		reborn.Born = 2000
+		e.Upsert(time.Second, reborn)
+		seen := map[uint64]bool{}
+		for port := range 60 {
+			Expect(e.Decide(time.Second, first(desk, callerAt(port+1), 0)).Endpoint.Service).To(Equal("desk"))
+			seen[e.Decide(time.Second, first(sheet, callerAt(port+1), 0)).Endpoint.ID] = true
+		}
+		Expect(seen).To(HaveKey(uint64(1)), "the own ones have 20 flows each")
+	})
+
 	// Guards against endpoints of other domains that get no flow although the own ones are
 	// crowded, since the search ends too early.
 	It("finds the cheapest endpoint of all, in whatever domain it is", func() {
--- a/internal/affinity/candidates.go
+++ b/internal/affinity/candidates.go
@@ -10,10 +10,13 @@
 // searches can end after the own one.
 type candidates struct {
 	near, far []*endpoint // in the own domain and in others, each ordered by ID
-	// farBound is below the cost of every far endpoint, whatever its load is.
+	// farBound is not above the cost of any far endpoint, whatever its load is. It may be lower than
+	// needed until the next updateBound, which only makes a search longer.
 	farBound float64
 }
 
+func newCandidates() *candidates { return &candidates{farBound: math.Inf(1)} }
+
 // all returns the endpoints in the order of near and far ones.
 func (c *candidates) all() []*endpoint {
 	if c == nil {
@@ -34,19 +37,22 @@
 		return 1
 	})
 	*list = slices.Insert(*list, at, ep)
-	c.updateBound()
 }
 
 func (c *candidates) remove(ep *endpoint) {
 	isIt := func(o *endpoint) bool { return o == ep }
 	c.near, c.far = slices.DeleteFunc(c.near, isIt), slices.DeleteFunc(c.far, isIt)
-	c.updateBound()
+}
+
+// lowerBound takes the weight of a new or changed far endpoint into account.
+func (c *candidates) lowerBound(ep *endpoint) {
+	c.farBound = min(c.farBound, ep.perSlot*ep.distance)
 }
 
 func (c *candidates) updateBound() {
 	c.farBound = math.Inf(1)
 	for _, ep := range c.far {
-		c.farBound = min(c.farBound, ep.perSlot*ep.distance)
+		c.lowerBound(ep)
 	}
 }
 
--- a/internal/affinity/demand.go
+++ b/internal/affinity/demand.go
@@ -58,9 +58,8 @@
 }
 
 // SetDemand takes the demand at all hosts that could be asked, this one included. From
-// it follows how much of the own domain's demand others should serve. It returns what
-// has changed in that.
-func (e *Engine) SetDemand(now time.Duration, list []Demand) []Excess {
+// it follows how much of the own domain's demand others should serve.
+func (e *Engine) SetDemand(now time.Duration, list []Demand) {
 	byService := map[string]map[string]int{}
 	for _, d := range list {
 		if byService[d.Service] == nil {
@@ -74,23 +73,29 @@
 		e.spreadExcess(service, flows)
 	}
 	e.updateDistances()
-	return changedExcess(before, e.picture.excess)
+	e.noteExcesses(before)
 }
 
-func changedExcess(before, now map[string]Excess) []Excess {
-	var changed []Excess
-	for service, x := range now {
+// Excesses returns what has begun and ceased since the last call.
+func (e *Engine) Excesses() []Excess {
+	changed := e.excesses
+	e.excesses = nil
+	return changed
+}
+
+// noteExcesses compares the picture with the excesses of the one before.
+func (e *Engine) noteExcesses(before map[string]Excess) {
+	for service, x := range e.picture.excess {
 		if _, ok := before[service]; !ok {
-			changed = append(changed, x)
+			e.excesses = append(e.excesses, x)
 		}
 	}
 	for service, x := range before {
-		if _, ok := now[service]; !ok {
+		if _, ok := e.picture.excess[service]; !ok {
 			x.Begins = false
-			changed = append(changed, x)
+			e.excesses = append(e.excesses, x)
 		}
 	}
-	return changed
 }
 
 // spreadExcess chooses the factors of the domains that take what the own one has above the fair
@@ -142,8 +147,10 @@
 // expireDemand forgets a picture that is not renewed.
 func (e *Engine) expireDemand(now time.Duration) {
 	if len(e.picture.factors) > 0 && now-e.picture.at >= demandLife {
+		before := e.picture.excess
 		e.picture = demandPicture{}
 		e.updateDistances()
+		e.noteExcesses(before)
 	}
 }
 
--- a/internal/affinity/demand_test.go
+++ b/internal/affinity/demand_test.go
@@ -62,13 +62,22 @@
 
 	It("tells when it begins and ceases to give flows away", func() {
 		e := threeDomains()
-		begun := e.SetDemand(0, demand(100, 20, 0))
-		Expect(begun).To(HaveLen(1))
-		Expect(begun[0].Begins).To(BeTrue())
-		Expect(e.SetDemand(time.Second, demand(100, 20, 0))).To(BeEmpty())
-		ceased := e.SetDemand(2*time.Second, demand(40, 40, 40))
-		Expect(ceased).To(HaveLen(1))
-		Expect(ceased[0].Begins).To(BeFalse())
+		changes := func() []bool {
+			var begins []bool
+			for _, x := range e.Excesses() {
+				begins = append(begins, x.Begins)
+			}
+			return begins
+		}
+		e.SetDemand(0, demand(100, 20, 0))
+		Expect(changes()).To(Equal([]bool{true}))
+		e.SetDemand(time.Second, demand(100, 20, 0))
+		Expect(changes()).To(BeEmpty())
+		e.SetDemand(2*time.Second, demand(40, 40, 40))
+		Expect(changes()).To(Equal([]bool{false}))
+		e.SetDemand(3*time.Second, demand(100, 20, 0))
+		e.Tick(10 * time.Second)
+		Expect(changes()).To(Equal([]bool{true, false}), "the picture is too old")
 	})
 
 	It("sends no excess to a domain that is above the mean itself", func() {
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -33,6 +33,7 @@
 	picks                uint64
 	picture              demandPicture
 	changes              []Suspicion // since the last call of Suspicions
+	excesses             []Excess    // since the last call of Excesses
 }
 
 // route is a compiled route.
@@ -139,6 +140,7 @@
 // Upsert adds an endpoint or takes over its new state.
 func (e *Engine) Upsert(now time.Duration, s Endpoint) {
 	ep := e.byID[s.ID]
+	listed := ep != nil && ep.Service == s.Service && ep.Domain == s.Domain
 	if ep == nil {
 		ep = &endpoint{Endpoint: s, token: Token(s.ID), goneAt: -1}
 		e.byID[s.ID] = ep
@@ -150,14 +152,21 @@
 		if s.Born > ep.Born {
 			ep.evidence, ep.goneAt, ep.replaced = evidence{}, -1, false
 		}
-		e.removeFromService(ep)
+		if !listed {
+			e.removeFromService(ep)
+		}
 		ep.Endpoint = s
 	}
 	if ep.Gone && ep.goneAt < 0 {
 		ep.goneAt = now
 	}
 	ep.perSlot, ep.distance = 1/float64(max(ep.Slots, 1)), e.distance(ep)
-	e.addToService(ep)
+	if !listed {
+		e.addToService(ep)
+	}
+	if ep.Domain != e.cfg.Domain {
+		e.service[ep.Service].lowerBound(ep)
+	}
 	e.claimAddress(now, ep)
 }
 
@@ -197,7 +206,7 @@
 func (e *Engine) addToService(ep *endpoint) {
 	c := e.service[ep.Service]
 	if c == nil {
-		c = &candidates{}
+		c = newCandidates()
 		e.service[ep.Service] = c
 	}
 	c.add(ep, ep.Domain == e.cfg.Domain)
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -128,6 +128,9 @@
 	for _, s := range d.engine.Suspicions() {
 		d.log.Info("endpoint suspected", "endpoint", s.Endpoint, "suspect", s.Suspect, "failures", s.Failures)
 	}
+	for _, x := range d.engine.Excesses() {
+		d.log.Info("excess of flows", "service", x.Service, "begins", x.Begins, "flowsPerSlot", x.Load, "meanFlowsPerSlot", x.Mean, "factor", x.Factor)
+	}
 	if d.ticks++; d.ticks%ticksPerSecond != 0 {
 		return
 	}
@@ -160,9 +163,7 @@
 		d.removeOthers()
 	}
 	if list := u.GetDemand(); len(list) > 0 {
-		for _, x := range d.engine.SetDemand(d.now, wire.DemandFromProto(list)) {
-			d.log.Info("excess of flows", "service", x.Service, "begins", x.Begins, "flowsPerSlot", x.Load, "meanFlowsPerSlot", x.Mean, "factor", x.Factor)
-		}
+		d.engine.SetDemand(d.now, wire.DemandFromProto(list))
 	}
 	if u.GetContact() && u.GetVersion() > 0 && d.engine.Version() >= u.GetVersion() {
 		d.confirmed = true
