Suspect endpoints whose callers go away after the first packet

Cause: an endpoint that has crashed while its machine runs answers each first packet with a reset, which goes to the caller directly.

Change: a flow whose caller has sent neither a later packet nor its first one again within 0.3 s counts as a failure of the endpoint, like a repeated packet; two without an answer between them make it suspect for 2 s.

Each host learns by itself, and after 0.3 s at the earliest, so the gain is small; hosts that tell each other would find it sooner.

The first of the two tests failed before.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -70,6 +70,7 @@
 	// triedSpace holds them: callers send a first packet three times.
 	triedSpace [3]*endpoint
 	answered   bool // a packet with a token has passed
+	judged     bool // what the silence after the first packet says was noted
 	began      time.Duration
 	last       time.Duration
 	progress   progress
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -9,6 +9,9 @@
 	// pendingLimit is above the time in which a caller repeats a first packet. A flow that was
 	// not answered until then does not count as load.
 	pendingLimit = 2 * time.Second
+	// goneAfter is above the time after which a caller repeats a first packet that nobody has
+	// answered.
+	goneAfter = 300 * time.Millisecond
 	// maxFlows bounds the memory of flows; the ones without packets for longest go first.
 	maxFlows = 1 << 16
 	// suspectFor is how long an endpoint that has not answered gets no new flow
@@ -145,6 +148,7 @@
 // Tick forgets the flows that have been idle for too long, and an old picture of the demand.
 func (e *Engine) Tick(now time.Duration) {
 	e.expireDemand(now)
+	e.judgePending(now)
 	for e.pending.oldest != nil && now-e.pending.oldest.began >= pendingLimit {
 		e.drop(e.pending.oldest)
 	}
@@ -153,6 +157,17 @@
 	}
 }
 
+// judgePending notes endpoints whose callers have gone away: without a repeated first
+// packet or a later one, the caller got a reset.
+func (e *Engine) judgePending(now time.Duration) {
+	for f := e.pending.oldest; f != nil && now-f.began >= goneAfter; f = f.after {
+		if !f.judged && len(f.tried) == 1 {
+			e.noAnswer(now, f.endpoint)
+		}
+		f.judged = true
+	}
+}
+
 // flowList is a list of flows in the order of their last packets.
 type flowList struct{ oldest, newest *flow }
 
--- a/internal/affinity/stall_test.go
+++ b/internal/affinity/stall_test.go
@@ -88,3 +88,39 @@
 		Expect(got.Repeats).To(Equal(1))
 	})
 })
+
+var _ = Describe("endpoints that refuse flows", func() {
+	// Guards against an endpoint that has crashed and whose address answers each first packet with
+	// a reset: its callers never come back on these flows, so it looks idle and gets the next ones.
+	It("are avoided when the callers of two flows neither go on nor repeat their first packet", func() {
+		e := site()
+		refusing := e.Decide(0, first(desk, caller, 0)).Endpoint.ID
+		count := 0
+		for port := 1; count < 2; port++ {
+			got := e.Decide(10*time.Millisecond, first(desk, callerAt(port), 0))
+			if got.Endpoint.ID == refusing {
+				count++
+				continue
+			}
+			e.Decide(15*time.Millisecond, later(desk, callerAt(port), got.Token, 5))
+		}
+		e.Tick(time.Second)
+		for port := range 30 {
+			Expect(e.Decide(time.Second, first(desk, callerAt(200+port), 0)).Endpoint.ID).NotTo(Equal(refusing))
+		}
+	})
+
+	It("are used again after an answer", func() {
+		e := site()
+		refusing := e.Decide(0, first(desk, caller, 0)).Endpoint.ID
+		e.Decide(0, first(desk, callerAt(1), 0))
+		e.Tick(time.Second)
+		e.Decide(time.Second, later(desk, callerAt(99), affinity.Token(refusing), 5))
+		e.Decide(time.Second, later(desk, callerAt(99), affinity.Token(refusing), 9))
+		seen := map[uint64]bool{}
+		for port := range 30 {
+			seen[e.Decide(time.Second, first(desk, callerAt(200+port), 0)).Endpoint.ID] = true
+		}
+		Expect(seen).To(HaveKey(refusing))
+	})
+})
