--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -9,9 +9,9 @@
 	// pendingLimit is above the time in which a caller repeats a first packet. A flow that was
 	// not answered until then does not count as load.
 	pendingLimit = 2 * time.Second
-	// goneAfter is above the time after which a caller repeats a first packet that nobody has
+	// abandonedAfter is above the time after which a caller repeats a first packet that nobody has
 	// answered.
-	goneAfter = 300 * time.Millisecond
+	abandonedAfter = 300 * time.Millisecond
 	// maxFlows bounds the memory of flows; the ones without packets for longest go first.
 	maxFlows = 1 << 16
 	// suspectFor is how long an endpoint that has not answered gets no new flow
@@ -160,7 +160,7 @@
 // judgePending notes endpoints whose callers have gone away: without a repeated first
 // packet or a later one, the caller got a reset.
 func (e *Engine) judgePending(now time.Duration) {
-	for f := e.pending.oldest; f != nil && now-f.began >= goneAfter; f = f.after {
+	for f := e.pending.oldest; f != nil && now-f.began >= abandonedAfter; f = f.after {
 		if !f.judged && len(f.tried) == 1 {
 			e.noAnswer(now, f.endpoint)
 		}
