Hand requests to join on to the leader

Cause: the control hosts 10.2.0.55 (disk wiped at 15 s) and 10.2.0.58 (new at 23.5 s) asked the seeds to be added. The leader since 8.7 s was 10.3.0.63, which is no seed, and a host that does not lead dropped the request. The log went on with five voters, one of which was replaced by a host that never joined; two lost disks at the end left two voters of five.

It takes a leader that is no seed, which needs more control hosts than seeds.

Change: a host that does not lead hands the request on to the leader, once.

The new test failed before.

--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -45,7 +45,10 @@
 	}
 	// peerUpdate and joinRequest come from other control hosts.
 	peerUpdate  struct{ update *wirepb.EndpointUpdate }
-	joinRequest struct{ member changelog.Member }
+	joinRequest struct {
+		member    changelog.Member
+		forwarded bool // not by the host that wants to join
+	}
 	// seedsChanged comes from the settings file.
 	seedsChanged struct{ seeds []string }
 )
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -228,7 +228,8 @@
 		_, err = s.state.Put(peerUpdate{update: body.EndpointUpdate})
 	case *wirepb.Envelope_JoinRequest:
 		j := body.JoinRequest
-		_, err = s.state.Put(joinRequest{member: changelog.Member{ID: j.GetId(), Address: j.GetAddress(), Domain: j.GetDomain()}})
+		member := changelog.Member{ID: j.GetId(), Address: j.GetAddress(), Domain: j.GetDomain()}
+		_, err = s.state.Put(joinRequest{member: member, forwarded: j.GetForwarded()})
 	case *wirepb.Envelope_EdgeFollow:
 		if !*following {
 			*following = true
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -114,10 +114,7 @@
 	case peerUpdate:
 		d.peerUpdate(e.update)
 	case joinRequest:
-		if d.isLeader() {
-			d.joining[e.member.ID] = join{e.member, d.now}
-			d.changeMembership()
-		}
+		d.joinRequested(e)
 	case seedsChanged:
 		d.seeds = e.seeds
 		d.log.Info("seeds changed", "seeds", e.seeds)
@@ -233,9 +230,7 @@
 		return
 	}
 	d.joinAt = d.now + joinInterval
-	request := &wirepb.Envelope{Body: &wirepb.Envelope_JoinRequest{
-		JoinRequest: &wirepb.JoinRequest{Id: d.self.ID, Address: d.self.Address, Domain: d.self.Domain},
-	}}
+	request := joinEnvelope(d.self, false)
 	asked := map[string]bool{d.self.Address: true}
 	ask := func(address string) {
 		if !asked[address] {
@@ -251,6 +246,26 @@
 	}
 }
 
+func joinEnvelope(m changelog.Member, forwarded bool) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_JoinRequest{
+		JoinRequest: &wirepb.JoinRequest{Id: m.ID, Address: m.Address, Domain: m.Domain, Forwarded: forwarded},
+	}}
+}
+
+// joinRequested remembers a host that asks to join. A host that does not lead hands the request
+// on to the leader, which the asking host may not know.
+func (d *stateDuty) joinRequested(e joinRequest) {
+	if d.isLeader() {
+		d.joining[e.member.ID] = join{e.member, d.now}
+		d.changeMembership()
+		return
+	}
+	if leader := d.leaderAddress(); leader != "" && !e.forwarded {
+		d.log.Info("request to join handed on", "host", e.member.Address, "id", e.member.ID, "leader", leader)
+		d.links.Offer(sendTo{address: leader, envelope: joinEnvelope(e.member, true)})
+	}
+}
+
 // changeMembership proposes the next change of the membership, one at a time.
 func (d *stateDuty) changeMembership() {
 	if !d.isLeader() || d.status.Changing || d.now-d.proposedAt < proposeInterval {
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -176,6 +176,50 @@
 	})
 })
 
+var _ = Describe("a request to join", func() {
+	// follows makes the host a follower of host 2.
+	follows := func() *control {
+		c := newControl()
+		members := changelog.Membership{{ID: 1, Address: "127.0.0.1:1", Voter: true}, {ID: 2, Address: "127.0.0.1:2", Voter: true}}
+		c.give(statusChanged{changelog.Status{ID: 1, Leader: 2, LastContact: c.time, Members: members}})
+		for c.links.Depth() > 0 {
+			_, _ = c.links.Get()
+		}
+		return c
+	}
+	joiner := changelog.Member{ID: 9, Address: "127.0.0.1:9", Domain: "b"}
+
+	// Guards against a control host with an empty disk that never joins, and a loss of two more
+	// disks that then leaves no majority: it knows the seeds only, and the leader is none of them.
+	It("is handed on to the leader", func() {
+		c := follows()
+		c.give(joinRequest{member: joiner})
+		Expect(c.links.Depth()).To(Equal(1))
+		e, err := c.links.Get()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.(sendTo).address).To(Equal("127.0.0.1:2"))
+		request := e.(sendTo).envelope.GetJoinRequest()
+		Expect(request.GetId()).To(Equal(joiner.ID))
+		Expect(request.GetAddress()).To(Equal(joiner.Address))
+		Expect(request.GetDomain()).To(Equal(joiner.Domain))
+		Expect(request.GetForwarded()).To(BeTrue())
+	})
+
+	// Guards against requests that travel for ever between two hosts that take each other for the leader.
+	It("is handed on once only", func() {
+		c := follows()
+		c.give(joinRequest{member: joiner, forwarded: true})
+		Expect(c.links.Depth()).To(BeZero())
+	})
+
+	It("leads to a change of the membership at the leader", func() {
+		c := newControl().leads()
+		c.time += proposeInterval
+		c.give(joinRequest{member: joiner, forwarded: true})
+		Expect(c.joining).To(HaveKey(joiner.ID))
+	})
+})
+
 var _ = Describe("followers", func() {
 	// Guards against a control host that is busy for seconds when all entry hosts of a large
 	// site come back at once: each change of an endpoint went to each of them alone.
