--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -55,7 +55,7 @@
 // outboxCapacity bounds what waits for a slow link. The protocol repeats what is lost.
 const outboxCapacity = 512
 
-// maxPeers bounds the addresses that are kept of hosts that are no members.
+// maxPeers bounds the addresses that are kept of members and of hosts that have named themselves.
 const maxPeers = 256
 
 func (d *linksDuty) handle(e linkEvent) error {
@@ -69,10 +69,7 @@
 	case sendTo:
 		d.send(e.address, e.envelope)
 	case peerNamed:
-		// A host that joins gets entries of the leader before it knows the membership.
-		if len(d.peers) < maxPeers {
-			d.peers[e.id] = e.address
-		}
+		d.peerNamed(e)
 	case broadcast:
 		for _, m := range d.members {
 			if m.ID != d.self {
@@ -83,11 +80,23 @@
 	return nil
 }
 
-// setMembers ends the links to hosts that are no members any more.
+// peerNamed notes the address of a peer. A host that joins gets entries of the leader before it
+// knows the membership.
+func (d *linksDuty) peerNamed(e peerNamed) {
+	if len(d.peers) >= maxPeers {
+		clear(d.peers)
+		for _, m := range d.members {
+			d.peers[m.ID] = m.Address
+		}
+	}
+	d.peers[e.id] = e.address
+}
+
+// setMembers ends the links to hosts that are no members any more. The addresses of other peers stay
+// known: the membership in a snapshot may be older than the leader that sends it.
 func (d *linksDuty) setMembers(members changelog.Membership) {
 	d.members = members
 	wanted := map[string]bool{}
-	clear(d.peers)
 	for _, m := range members {
 		wanted[m.Address] = true
 		d.peers[m.ID] = m.Address
--- a/internal/cluster/links_test.go
+++ b/internal/cluster/links_test.go
@@ -41,6 +41,28 @@
 		Expect(d.outboxes).To(HaveKey("127.0.0.1:7"))
 	})
 
+	// Guards against a host that joins and stays behind, so that the loss of one more disk leaves no
+	// majority: it installs a snapshot whose membership is older than the leader, and then could
+	// not answer it.
+	It("answer a leader that is younger than the membership of a snapshot", func() {
+		d := linksOf()
+		Expect(d.handle(peerNamed{id: 7, address: "127.0.0.1:7"})).To(Succeed())
+		Expect(d.handle(setMembers{changelog.Membership{{ID: 2, Address: "127.0.0.1:2"}}})).To(Succeed())
+		Expect(d.handle(sendMessage{changelog.Message{Kind: changelog.KindAppendReply, To: 7}})).To(Succeed())
+		Expect(d.outboxes).To(HaveKey("127.0.0.1:7"))
+	})
+
+	It("forget peers that are no members when there are too many", func() {
+		d := linksOf()
+		Expect(d.handle(setMembers{changelog.Membership{{ID: 2, Address: "127.0.0.1:2"}}})).To(Succeed())
+		for id := range uint64(maxPeers) {
+			Expect(d.handle(peerNamed{id: 100 + id, address: "127.0.0.1:9"})).To(Succeed())
+		}
+		Expect(len(d.peers)).To(BeNumerically("<=", maxPeers))
+		Expect(d.peers).To(HaveKeyWithValue(uint64(2), "127.0.0.1:2"))
+		Expect(d.peers).To(HaveKey(uint64(100 + maxPeers - 1)))
+	})
+
 	It("end with the membership of their peer", func() {
 		d := linksOf()
 		Expect(d.handle(setMembers{changelog.Membership{{ID: 2, Address: "127.0.0.1:2"}}})).To(Succeed())
