Reset a stalled flow only if another flow of the endpoint has trouble too

An answer of the endpoint to another flow cannot be counted on across domains, where a host often has one flow of an endpoint.

Change: a stalled flow is reset only if the endpoint has had two failures (repeated data, or repeated or abandoned first packets) without an answer between them.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -285,7 +285,7 @@
 		return d
 	}
 	f, repeats := e.noteLater(now, p, f, ep)
-	if f != nil && repeats > 0 && r.idempotent && f.progress.stalled(now) && ep.evidence.answer <= f.progress.sentAt {
+	if f != nil && repeats > 0 && r.idempotent && f.progress.stalled(now) && ep.evidence.failures >= suspectAfter {
 		e.drop(f)
 		return Decision{Verdict: Reset, Reason: Stalled, Endpoint: &ep.Endpoint, Repeats: repeats, Age: now - f.progress.sentAt}
 	}
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -23,9 +23,8 @@
 
 // evidence is what packets of callers tell about an endpoint.
 type evidence struct {
-	failures int           // since the last sign of life
+	failures int           // since the last sign of life, one for each data or first packet
 	until    time.Duration // suspect
-	answer   time.Duration // last sign of life
 }
 
 // noAnswer notes that a caller has repeated a packet.
@@ -45,7 +44,7 @@
 	if ep.evidence.suspect(now) {
 		e.changes = append(e.changes, Suspicion{Endpoint: ep.Name, Failures: ep.evidence.failures})
 	}
-	ep.evidence = evidence{answer: now}
+	ep.evidence = evidence{}
 }
 
 func (v *evidence) suspect(now time.Duration) bool { return now < v.until }
--- a/internal/affinity/stall.go
+++ b/internal/affinity/stall.go
@@ -4,8 +4,8 @@
 
 // Limits from which a flow counts as stalled. Callers repeat unacknowledged data after 200 ms and
 // 600 ms, and an endpoint that lives acknowledges a repeat at once. The age keeps packets apart
-// that were held up together. A flow is given up only if no other one has had an answer of the
-// endpoint meanwhile, since three packets of one flow can be lost.
+// that were held up together. A flow is given up only if another one of the endpoint has trouble
+// too and none has had an answer meanwhile, since three packets of one flow can be lost.
 const (
 	stallRepeats = 2
 	stallAge     = 500 * time.Millisecond
