--- a/internal/affinity/stall_test.go
+++ b/internal/affinity/stall_test.go
@@ -52,7 +52,7 @@
 	})
 
 	// Guards against the reset of a flow whose endpoint lives, after three of its packets were
-	// lost: seen twice on 240 days of gwymon-lb.
+	// lost: seen twice on some 180 days of gwymon-lb.
 	It("keeps a flow when no other one of the endpoint has trouble", func() {
 		e := idempotentSite()
 		p := request(sheet, 1, affinity.Token(11), 101, 5)
