--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -71,6 +71,9 @@
 	return code
 }
 
+// hasEnded reports whether the process has ended, by itself or not.
+func (p *process) hasEnded() bool { return p.command == nil || p.exited.Depth() > 0 }
+
 func (p *process) kill() {
 	GinkgoHelper()
 	p.signal(syscall.SIGKILL)
--- a/internal/e2e/signals_test.go
+++ b/internal/e2e/signals_test.go
@@ -23,10 +23,14 @@
 	p.start()
 	logged := func(text string) {
 		GinkgoHelper()
-		Eventually(func() bool {
+		Eventually(func() (string, error) {
+			ended := p.hasEnded() // asked first, so that the log read then is whole
 			content, err := os.ReadFile(p.log)
-			return err == nil && strings.Contains(string(content), text)
-		}, never, poll).Should(BeTrue(), text)
+			if err == nil && ended && !strings.Contains(string(content), text) {
+				return "", StopTrying(p.name + " ended without the line; are the addresses in use by another run?")
+			}
+			return string(content), err
+		}, never, poll).Should(ContainSubstring(text))
 	}
 	logged("entry host started")
 	p.signal(syscall.SIGTERM)
