--- a/internal/affinity/candidates.go
+++ b/internal/affinity/candidates.go
@@ -10,12 +10,16 @@
 // most searches need not look at the others.
 type candidates struct {
 	local, remote []*endpoint // in the local domain and in others, each ordered by ID
-	// remoteBound is a lower bound for the cost of the endpoints in other domains. After changes
-	// it may be too low until recomputeBound is called, which only makes searches longer.
-	remoteBound float64
+	usage         *usage
+	// The bounds are lower bounds for the costs of the work in progress and of the open flows of the
+	// endpoints in other domains. After changes they may be too low until recomputeBounds is called,
+	// which only makes searches longer.
+	remoteWorkBound, remoteOpenBound float64
 }
 
-func newCandidates() *candidates { return &candidates{remoteBound: math.Inf(1)} }
+func newCandidates() *candidates {
+	return &candidates{usage: newUsage(), remoteWorkBound: math.Inf(1), remoteOpenBound: math.Inf(1)}
+}
 
 // all returns all endpoints, those of the local domain first.
 func (c *candidates) all() []*endpoint {
@@ -44,17 +48,26 @@
 	c.local, c.remote = slices.DeleteFunc(c.local, matches), slices.DeleteFunc(c.remote, matches)
 }
 
-// lowerBoundTo lowers the bound for a new or changed endpoint in another domain.
-func (c *candidates) lowerBoundTo(ep *endpoint) {
-	c.remoteBound = min(c.remoteBound, ep.loadPerFlow*ep.domainFactor)
+// lowerBoundsTo lowers the bounds for a new or changed endpoint in another domain.
+func (c *candidates) lowerBoundsTo(ep *endpoint) {
+	c.remoteWorkBound = min(c.remoteWorkBound, ep.loadPerFlow*ep.workFactor)
+	c.remoteOpenBound = min(c.remoteOpenBound, ep.loadPerFlow*ep.domainFactor)
 }
 
-// recomputeBound computes the bound from all endpoints in other domains.
-func (c *candidates) recomputeBound() {
-	c.remoteBound = math.Inf(1)
+// recomputeBounds computes the bounds from all endpoints in other domains.
+func (c *candidates) recomputeBounds() {
+	c.remoteWorkBound, c.remoteOpenBound = math.Inf(1), math.Inf(1)
 	for _, ep := range c.remote {
-		c.lowerBoundTo(ep)
+		c.lowerBoundsTo(ep)
+	}
+}
+
+// remoteBound returns a lower bound for the cost of the endpoints in other domains.
+func (c *candidates) remoteBound() float64 {
+	if len(c.remote) == 0 {
+		return math.Inf(1)
 	}
+	return c.usage.workWeight*c.remoteWorkBound + c.usage.openWeight*c.remoteOpenBound
 }
 
 // choose returns the usable endpoint with the lowest cost that is not excluded, or nil if there
@@ -65,11 +78,11 @@
 		return nil
 	}
 	e.choices++
-	best, lowest := e.cheapest(now, c.local, excluded)
-	if best != nil && lowest <= c.remoteBound {
+	best, lowest := e.cheapest(now, c.usage, c.local, excluded)
+	if best != nil && lowest <= c.remoteBound() {
 		return best
 	}
-	if remote, cost := e.cheapest(now, c.remote, excluded); best == nil || remote != nil && cost < lowest {
+	if remote, cost := e.cheapest(now, c.usage, c.remote, excluded); best == nil || remote != nil && cost < lowest {
 		return remote
 	}
 	return best
@@ -77,7 +90,7 @@
 
 // cheapest returns the usable endpoint of a list with the lowest cost, and the cost. The search
 // starts at another position each time, so that endpoints of equal cost take turns.
-func (e *Engine) cheapest(now time.Duration, list, excluded []*endpoint) (*endpoint, float64) {
+func (e *Engine) cheapest(now time.Duration, u *usage, list, excluded []*endpoint) (*endpoint, float64) {
 	var best *endpoint
 	var lowest float64
 	if len(list) == 0 {
@@ -86,7 +99,7 @@
 	start := int(e.choices % uint64(len(list)))
 	for _, part := range [...][]*endpoint{list[start:], list[:start]} {
 		for _, ep := range part {
-			load := ep.load()
+			load := ep.load(u)
 			// The cost is not below the load.
 			if best != nil && load >= lowest || !ep.usable() || len(excluded) > 0 && slices.Contains(excluded, ep) {
 				continue
--- a/internal/affinity/demand.go
+++ b/internal/affinity/demand.go
@@ -7,6 +7,10 @@
 	// has no excess of flows. It is high because flows between domains cost money and delay, and
 	// a network partition breaks them.
 	remoteFactor = 16.0
+	// remoteWorkFactor is the highest cost factor of work in progress in other failure domains. It is
+	// low because a single request is soon over, and waiting for a local endpoint takes longer than
+	// the way to another domain.
+	remoteWorkFactor = 3.0
 	// fairLoadRatio is the ratio of the local domain's load to the mean from which the local domain
 	// has an excess. The rates of single callers cause smaller differences.
 	fairLoadRatio = 1.25
@@ -157,13 +161,19 @@
 
 func (e *Engine) updateDomainFactors() {
 	for _, ep := range e.byID {
-		ep.domainFactor = e.factorOf(ep)
+		e.setDomainFactors(ep)
 	}
 	for _, c := range e.candidates {
-		c.recomputeBound()
+		c.recomputeBounds()
 	}
 }
 
+// setDomainFactors sets the cost factors of an endpoint's failure domain.
+func (e *Engine) setDomainFactors(ep *endpoint) {
+	ep.domainFactor = e.factorOf(ep)
+	ep.workFactor = min(ep.domainFactor, remoteWorkFactor)
+}
+
 // factorOf returns the cost factor of an endpoint's failure domain.
 func (e *Engine) factorOf(ep *endpoint) float64 {
 	if ep.Domain == e.cfg.Domain {
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -20,21 +20,21 @@
 // Engine decides what happens to each packet of a caller. It is not safe for
 // concurrent use.
 type Engine struct {
-	cfg         Config
-	version     uint64
-	idleTimeout time.Duration
-	routes      map[netip.AddrPort]*route
-	byToken     map[uint32]*endpoint
-	byID        map[uint64]*endpoint
-	candidates  map[string]*candidates       // by service name
-	byAddress   map[netip.AddrPort]*endpoint // the newest incarnation at each address
-	flows       map[flowKey]*flow
-	// pending holds the flows that no endpoint has answered, established all others.
-	pending, established flowList
-	choices              uint64 // calls of choose; rotates the start of its search
-	snapshot             demandSnapshot
-	suspicions           []Suspicion // since the last call of TakeSuspicions
-	excesses             []Excess    // since the last call of TakeExcesses
+	cfg             Config
+	version         uint64
+	idleTimeout     time.Duration
+	routes          map[netip.AddrPort]*route
+	byToken         map[uint32]*endpoint
+	byID            map[uint64]*endpoint
+	candidates      map[string]*candidates       // by service name
+	byAddress       map[netip.AddrPort]*endpoint // the newest incarnation at each address
+	flows           map[flowKey]*flow
+	lists           [phaseCount]flowList // the flows of each phase
+	choices         uint64               // calls of choose; rotates the start of its search
+	usageObservedAt time.Duration
+	snapshot        demandSnapshot
+	suspicions      []Suspicion // since the last call of TakeSuspicions
+	excesses        []Excess    // since the last call of TakeExcesses
 }
 
 // route is a compiled route.
@@ -49,8 +49,10 @@
 type endpoint struct {
 	// The load fields come first, so that a search reads one cache line of most endpoints.
 	openFlows     int     // flows of this endpoint that this host remembers
+	working       int     // those of them with work in progress
 	loadPerFlow   float64 // 1 divided by its slots
-	domainFactor  float64 // cost factor of its failure domain
+	domainFactor  float64 // cost factor of its failure domain for open flows
+	workFactor    float64 // cost factor of its failure domain for work in progress
 	health        passiveHealth
 	token         uint32
 	goneAt        time.Duration // when it was gone or replaced; -1 before
@@ -70,7 +72,7 @@
 	tried    []*endpoint // endpoints that got the first packet; nil if another host handled it
 	// triedBuffer avoids an allocation for tried: callers send a first packet at most three times.
 	triedBuffer    [3]*endpoint
-	answered       bool // a packet with a token has been seen
+	phase          phase
 	abandonChecked bool // the lack of packets after the first one has been evaluated
 	startedAt      time.Duration
 	lastPacketAt   time.Duration
@@ -163,12 +165,13 @@
 	if ep.Gone && ep.goneAt < 0 {
 		ep.goneAt = now
 	}
-	ep.loadPerFlow, ep.domainFactor = 1/float64(max(ep.Slots, 1)), e.factorOf(ep)
+	ep.loadPerFlow = 1 / float64(max(ep.Slots, 1))
+	e.setDomainFactors(ep)
 	if !listed {
 		e.addToService(ep)
 	}
 	if ep.Domain != e.cfg.Domain {
-		e.candidates[ep.Service].lowerBoundTo(ep)
+		e.candidates[ep.Service].lowerBoundsTo(ep)
 	}
 	e.claimAddress(now, ep)
 }
@@ -272,7 +275,7 @@
 func (e *Engine) decideLater(now time.Duration, p Packet, r *route) Decision {
 	ep := e.byToken[p.Token]
 	f := e.flows[flowKey{p.Caller, p.Service}]
-	if f != nil && f.answered && f.endpoint != ep && len(f.tried) > 1 && slices.Contains(f.tried, ep) {
+	if f != nil && f.phase != pending && f.endpoint != ep && len(f.tried) > 1 && slices.Contains(f.tried, ep) {
 		// Two endpoints have answered transmissions of the first packet. The caller returns the
 		// token of the last answer, but the flow is open at the endpoint that it acknowledged first.
 		ep = f.endpoint
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -21,6 +21,16 @@
 	suspectFailures = 2
 )
 
+// phase tells what the endpoint of a flow is doing for it.
+type phase uint8
+
+const (
+	pending    phase = iota // no endpoint has answered the first packet
+	working                 // the endpoint has not answered the newest data
+	idle                    // the caller has sent nothing since the last answer
+	phaseCount              // number of phases
+)
+
 // passiveHealth is the health of an endpoint as derived from the packets of callers.
 type passiveHealth struct {
 	failures     int           // since the last answer; each unanswered data or first packet counts once
@@ -54,9 +64,10 @@
 func (e *Engine) trackLater(now time.Duration, p Packet, f *flow, ep *endpoint) (*flow, int) {
 	retransmits := 0
 	if f == nil {
-		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, answered: true, startedAt: now, lastPacketAt: now, progress: progress{ack: p.Ack}}
+		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, phase: idle, startedAt: now, lastPacketAt: now, progress: progress{ack: p.Ack}}
 		f.progress.update(now, p)
 		e.addFlow(f)
+		e.updatePhase(f)
 	} else {
 		retransmits = e.updateFlow(now, p, f, ep)
 	}
@@ -74,12 +85,15 @@
 	if f.endpoint != ep {
 		e.reassign(f, ep)
 	}
-	opened := !f.answered
+	opened := f.phase == pending
 	answered, retransmitted := f.progress.update(now, p)
 	if opened || answered {
-		e.markEstablished(f)
 		e.recordAnswer(now, ep)
 	}
+	if u := e.usageOf(ep); opened && u != nil {
+		u.flows++
+	}
+	e.updatePhase(f)
 	if !retransmitted {
 		return 0
 	}
@@ -90,82 +104,109 @@
 	return f.progress.retransmits
 }
 
-// addFlow stores a flow, in the list of pending or of established ones. At maxFlows it removes
-// the oldest flow first.
+// updatePhase sets the phase of a flow that an endpoint has answered, from the progress of its data.
+func (e *Engine) updatePhase(f *flow) {
+	next := idle
+	if f.progress.unanswered {
+		next = working
+	}
+	if f.phase == next {
+		return
+	}
+	if u := e.usageOf(f.endpoint); next == working && u != nil {
+		u.requests++
+	}
+	e.setPhase(f, next)
+}
+
+// usageOf returns the usage of the endpoint's service, or nil if the endpoint has been removed.
+func (e *Engine) usageOf(ep *endpoint) *usage {
+	if c := e.candidates[ep.Service]; c != nil {
+		return c.usage
+	}
+	return nil
+}
+
+// addFlow stores a flow. At maxFlows it removes the oldest flow first.
 func (e *Engine) addFlow(f *flow) {
 	for len(e.flows) >= maxFlows {
 		e.removeOldestFlow()
 	}
 	e.flows[f.key] = f
-	f.endpoint.openFlows++
-	e.listOf(f).append(f)
+	f.endpoint.count(f, 1)
+	e.lists[f.phase].append(f)
 }
 
-// listOf returns the list that holds a flow.
-func (e *Engine) listOf(f *flow) *flowList {
-	if f.answered {
-		return &e.established
+// count adds n times the flow to the load of the endpoint.
+func (ep *endpoint) count(f *flow, n int) {
+	ep.openFlows += n
+	if f.phase != idle {
+		ep.working += n
 	}
-	return &e.pending
+}
+
+// setPhase moves a flow to the list of another phase.
+func (e *Engine) setPhase(f *flow, next phase) {
+	e.lists[f.phase].remove(f)
+	f.endpoint.count(f, -1)
+	f.phase = next
+	f.endpoint.count(f, 1)
+	e.lists[next].append(f)
 }
 
 // reassign moves a flow, and its share of the load, to another endpoint.
 func (e *Engine) reassign(f *flow, ep *endpoint) {
-	f.endpoint.openFlows--
-	ep.openFlows++
+	f.endpoint.count(f, -1)
+	ep.count(f, 1)
 	f.endpoint = ep
 }
 
 func (e *Engine) removeFlow(f *flow) {
-	e.listOf(f).remove(f)
+	e.lists[f.phase].remove(f)
 	delete(e.flows, f.key)
-	f.endpoint.openFlows--
+	f.endpoint.count(f, -1)
 }
 
-// removeOldestFlow removes the oldest pending flow, or the oldest established one if none is pending.
+// removeOldestFlow removes the oldest pending flow, or the oldest of another phase if none is pending.
 func (e *Engine) removeOldestFlow() {
-	if e.pending.oldest != nil {
-		e.removeFlow(e.pending.oldest)
-		return
-	}
-	e.removeFlow(e.established.oldest)
-}
-
-// markEstablished moves a flow from the pending to the established ones after an answer.
-func (e *Engine) markEstablished(f *flow) {
-	if !f.answered {
-		e.pending.remove(f)
-		f.answered = true
-		e.established.append(f)
+	for _, p := range [...]phase{pending, idle, working} {
+		if oldest := e.lists[p].oldest; oldest != nil {
+			e.removeFlow(oldest)
+			return
+		}
 	}
 }
 
 // touch records the time of the flow's last packet and moves the flow to the end of its list.
 func (e *Engine) touch(now time.Duration, f *flow) {
 	f.lastPacketAt = now
-	if list := e.listOf(f); list.newest != f {
+	if list := &e.lists[f.phase]; list.newest != f {
 		list.remove(f)
 		list.append(f)
 	}
 }
 
-// Tick removes expired flows and an outdated demand snapshot, and evaluates flows that were
-// abandoned.
+// Tick removes expired flows and an outdated demand snapshot, evaluates flows that were abandoned,
+// and observes the usage of the services.
 func (e *Engine) Tick(now time.Duration) {
 	e.expireDemand(now)
 	e.checkAbandoned(now)
-	for e.pending.oldest != nil && now-e.pending.oldest.startedAt >= pendingTimeout {
-		e.removeFlow(e.pending.oldest)
+	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= pendingTimeout; f = e.lists[pending].oldest {
+		e.removeFlow(f)
+	}
+	for f := e.lists[working].oldest; f != nil && now-f.lastPacketAt >= workTimeout; f = e.lists[working].oldest {
+		e.setPhase(f, idle)
 	}
-	for e.established.oldest != nil && now-e.established.oldest.lastPacketAt >= e.idleTimeout {
-		e.removeFlow(e.established.oldest)
+	for f := e.lists[idle].oldest; f != nil && now-f.lastPacketAt >= e.idleTimeout; f = e.lists[idle].oldest {
+		e.removeFlow(f)
 	}
+	e.observeUsage(now)
 }
 
 // checkAbandoned records a failure of the endpoint for each flow that its caller has abandoned:
 // a caller that sends neither a retransmission nor a later packet got a reset.
 func (e *Engine) checkAbandoned(now time.Duration) {
-	for f := e.pending.oldest; f != nil && now-f.startedAt >= abandonedAfter; f = f.next {
+	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= abandonedAfter; f = f.next {
 		if !f.abandonChecked && len(f.tried) == 1 {
 			e.recordFailure(now, f.endpoint)
 		}
@@ -173,7 +214,7 @@
 	}
 }
 
-// flowList is a doubly linked list of flows in the order of their last packets.
+// flowList is a doubly linked list of the flows of a phase, about in the order of their last packets.
 type flowList struct{ oldest, newest *flow }
 
 func (l *flowList) append(f *flow) {
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -41,7 +41,7 @@
 // answer for longer than any round trip takes: the endpoint has failed, is full or cannot be
 // reached, unless a packet was lost. So the packet goes to another endpoint.
 func (e *Engine) decideRetransmission(now time.Duration, p Packet, f *flow, r *route) Decision {
-	if !f.answered {
+	if f.phase == pending {
 		e.recordFailure(now, f.endpoint)
 		// The routes may have changed since the first packet.
 		service := e.pickService(p, r)
@@ -91,12 +91,6 @@
 	return ep.AcceptsFlows && !ep.Gone && !ep.replaced && !ep.tokenCollides
 }
 
-// load returns the flows per slot that the endpoint would have with one more flow, times the
-// cost factor of its failure domain.
-func (ep *endpoint) load() float64 {
-	return float64(ep.openFlows+1) * ep.loadPerFlow * ep.domainFactor
-}
-
 // penalty returns the cost of the endpoint above its load: for slow start, suspicion and silence.
 func (ep *endpoint) penalty(now time.Duration, load float64) float64 {
 	penalty := 0.0
