Go on accepting sessions after a temporary error

Cause: any error of Accept ended the duty and with it the process, also a lack of file descriptors, which passes. Found by reading the code for the report that one unexpected error took a whole process down. The test failed before with "too many open files".

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
+	"syscall"
+	"time"
 
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire/wirepb"
@@ -86,6 +90,17 @@
 	l.session, l.stream = nil, nil
 }
 
+// acceptRetryInterval is the pause after a temporary failure to accept a connection.
+const acceptRetryInterval = 100 * time.Millisecond
+
+// temporaryAcceptErrors are the failures to accept a connection that end by themselves: a lack of file
+// descriptors or memory, and connections that were reset before they were accepted.
+var temporaryAcceptErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
+
+func isTemporaryAcceptError(err error) bool {
+	return slices.ContainsFunc(temporaryAcceptErrors, func(t error) bool { return errors.Is(err, t) })
+}
+
 // AcceptSessions accepts sessions until ctx ends and serves each in its own
 // goroutine. A session is closed when serve returns or ctx ends.
 func AcceptSessions(ctx context.Context, log *slog.Logger, listener net.Listener, config *tls.Config, t Timeouts,
@@ -99,6 +114,11 @@
 			if ctx.Err() != nil {
 				return nil
 			}
+			if isTemporaryAcceptError(err) {
+				log.Warn("session not accepted, trying again", "error", err)
+				time.Sleep(acceptRetryInterval)
+				continue
+			}
 			return fmt.Errorf("accept session: %w", err)
 		}
 		go serveConn(ctx, log, conn, config, t, serve)
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -124,3 +125,46 @@
 		t.Errorf("the last valid certificate is no longer in use: %v", err)
 	}
 }
+
+// exhaustedListener is a listener whose first Accept fails for lack of file descriptors.
+type exhaustedListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptContinuesAfterTemporaryError guards against a process that ends because it was short of file
+// descriptors for a moment.
+func TestAcceptContinuesAfterTemporaryError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	served, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		ended <- wire.AcceptSessions(ctx, slog.New(slog.DiscardHandler), &exhaustedListener{Listener: listener}, nil, wire.DefaultTimeouts,
+			func(*wire.Session) { close(served) })
+	}()
+	session, err := wire.Dial(ctx, listener.Addr().String(), nil, wire.DefaultTimeouts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = session.Close() }()
+	select {
+	case <-served:
+	case err := <-ended:
+		t.Fatalf("stopped accepting: %v", err)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
