Refuse to encode a route to a service that is not in the list

Cause: the position of an unknown service was written as -1. Every member ends when it applies such a log entry. internal/routing refuses such a desired state before, so no process has done this; the encoder now does not rely on it.

--- a/internal/wire/routing.go
+++ b/internal/wire/routing.go
@@ -16,7 +16,11 @@
 
 // EncodeDesiredState returns the data of the log entry that puts a desired state in force.
 func EncodeDesiredState(d routing.Desired) ([]byte, error) {
-	data, err := proto.Marshal(desiredToProto(d))
+	p, err := desiredToProto(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode desired state %d: %w", d.Version, err)
+	}
+	data, err := proto.Marshal(p)
 	if err != nil {
 		return nil, fmt.Errorf("encode desired state %d: %w", d.Version, err)
 	}
@@ -34,7 +38,11 @@
 
 // EncodeRoutingState returns the content of a snapshot of the routing state.
 func EncodeRoutingState(s *routing.State) ([]byte, error) {
-	p := &wirepb.RoutingState{Desired: desiredToProto(s.Desired())}
+	desired, err := desiredToProto(s.Desired())
+	if err != nil {
+		return nil, fmt.Errorf("encode routing state: %w", err)
+	}
+	p := &wirepb.RoutingState{Desired: desired}
 	for address, services := range s.FormerServices() {
 		p.Former = append(p.Former, &wirepb.FormerServices{Address: address.String(), Services: services})
 	}
@@ -66,17 +74,20 @@
 	return routing.Restore(desired, former), nil
 }
 
-func desiredToProto(d routing.Desired) *wirepb.DesiredState {
+func desiredToProto(d routing.Desired) (*wirepb.DesiredState, error) {
 	p := &wirepb.DesiredState{
 		Version: d.Version, IdleTimeoutMs: d.IdleTimeout.Milliseconds(), Services: d.Services, Document: d.Document,
 	}
 	for _, r := range d.Routes {
+		shares, err := sharesToProto(r.Shares, d.Services)
+		if err != nil {
+			return nil, fmt.Errorf("route %s: %w", r.Name, err)
+		}
 		p.Routes = append(p.Routes, &wirepb.Route{
-			Name: r.Name, Address: r.Address.String(), TimeoutMs: r.Timeout.Milliseconds(), Share: sharesToProto(r.Shares, d.Services),
-			Idempotent: r.Idempotent,
+			Name: r.Name, Address: r.Address.String(), TimeoutMs: r.Timeout.Milliseconds(), Share: shares, Idempotent: r.Idempotent,
 		})
 	}
-	return p
+	return p, nil
 }
 
 func desiredFromProto(p *wirepb.DesiredState) (routing.Desired, error) {
@@ -101,13 +112,17 @@
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // sharesToProto returns two values for each share: the position of its service in
-// names, and its weight.
-func sharesToProto(shares []routing.Share, names []string) []uint32 {
+// names, and its weight. It returns an error if names lacks the service.
+func sharesToProto(shares []routing.Share, names []string) ([]uint32, error) {
 	var list []uint32
 	for _, s := range shares {
-		list = append(list, uint32(slices.Index(names, s.Service)), s.Weight)
+		position := slices.Index(names, s.Service)
+		if position < 0 {
+			return nil, fmt.Errorf("no service has the name %q", s.Service)
+		}
+		list = append(list, uint32(position), s.Weight)
 	}
-	return list
+	return list, nil
 }
 
 func sharesFromProto(list []uint32, names []string) ([]routing.Share, error) {
--- a/internal/wire/routing_test.go
+++ b/internal/wire/routing_test.go
@@ -69,3 +69,14 @@
 		}
 	})
 }
+
+// TestUnknownServiceIsNotEncoded guards against a log entry that no member can decode: the members would
+// end when they apply it.
+func TestUnknownServiceIsNotEncoded(t *testing.T) {
+	d := routing.Desired{Version: 1, Services: []string{"desk"}, Routes: []routing.Route{{
+		Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []routing.Share{{Service: "sheet", Weight: 1}},
+	}}}
+	if _, err := wire.EncodeDesiredState(d); err == nil {
+		t.Fatal("encoded a route to a service that is not in the list")
+	}
+}
