Keep the address and the token of endpoints right when they move or leave

An endpoint that started again at another address kept its entry at the former one, so the next endpoint there marked it as replaced and its flows were reset. And an endpoint whose token another one shared got no new flows after the other one had been removed. Both tests failed before.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -66,6 +66,18 @@
 	return affinity.Packet{Caller: from, Service: service, Flags: affinity.ACK, Token: token, Seq: 101, Ack: ack, Length: 10}
 }
 
+// sameToken returns two IDs with the same token, the lower one first.
+func sameToken() (low, high uint64) {
+	ids := map[uint32]uint64{}
+	for id := uint64(1); ; id++ {
+		token := affinity.Token(id)
+		if other, ok := ids[token]; ok {
+			return other, id
+		}
+		ids[token] = id
+	}
+}
+
 var _ = Describe("Engine", func() {
 	// Guards against resets of open flows by a host that has just started: when too few hosts of
 	// a failure domain are ready, the fabric also uses those that are not.
@@ -157,6 +169,32 @@
 		}
 	})
 
+	// Guards against resets of the flows of an endpoint that has moved: a newer endpoint at the address
+	// that it has left marked it as replaced.
+	It("keeps an endpoint that has moved when another one uses its former address", func() {
+		e := newEngine()
+		moved := endpoint(1, "desk", "a")
+		moved.Address, moved.StartedAtMs = endpoint(99, "desk", "a").Address, 2000
+		e.Upsert(0, moved)
+		successor := endpoint(20, "sheet", "a")
+		successor.Address, successor.StartedAtMs = endpoint(1, "desk", "a").Address, 3000
+		e.Upsert(0, successor)
+		Expect(e.Decide(5*time.Second, laterPacket(desk, caller, affinity.Token(1), 5)).Verdict).To(Equal(affinity.Forward))
+	})
+
+	// Guards against an endpoint that gets no new flows any more because of one that has been removed.
+	It("uses an endpoint again when the one with the same token has been removed", func() {
+		low, high := sameToken()
+		e := affinity.New(affinity.Config{Domain: "a"})
+		e.SetRoutes(table(1, route(desk, "desk")))
+		e.Upsert(0, endpoint(low, "desk", "a"))
+		e.Upsert(0, endpoint(high, "desk", "a"))
+		Expect(e.Decide(0, firstPacket(desk, caller, 0)).Endpoint.ID).To(Equal(low))
+		e.Remove(low)
+		Expect(e.Decide(0, firstPacket(desk, callerAt(2), 0)).Endpoint.ID).To(Equal(high))
+		Expect(e.Decide(0, laterPacket(desk, callerAt(3), affinity.Token(high), 5)).Endpoint.ID).To(Equal(high))
+	})
+
 	// Guards against callers that wait for a failed endpoint until they time out.
 	It("sends a retransmitted first packet to another endpoint", func() {
 		e := newEngine()
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -160,6 +160,9 @@
 		if !listed {
 			e.removeFromService(ep)
 		}
+		if ep.Address != s.Address && e.byAddress[ep.Address] == ep {
+			delete(e.byAddress, ep.Address) // another endpoint may use the address that it has left
+		}
 		ep.Endpoint = s
 	}
 	if ep.Gone && ep.goneAt < 0 {
@@ -190,6 +193,19 @@
 	}
 }
 
+// passOnToken gives the token of a removed endpoint to the one with the lowest ID that shares it.
+func (e *Engine) passOnToken(token uint32) {
+	var next *endpoint
+	for _, ep := range e.byID {
+		if ep.token == token && (next == nil || ep.ID < next.ID) {
+			next = ep
+		}
+	}
+	if next != nil {
+		next.tokenCollides, e.byToken[token] = false, next
+	}
+}
+
 // claimAddress records the newest incarnation at an address and marks an older one there
 // as replaced.
 func (e *Engine) claimAddress(now time.Duration, ep *endpoint) {
@@ -235,6 +251,7 @@
 	e.removeFromService(ep)
 	if e.byToken[ep.token] == ep {
 		delete(e.byToken, ep.token)
+		e.passOnToken(ep.token)
 	}
 	if e.byAddress[ep.Address] == ep {
 		delete(e.byAddress, ep.Address)
