Leave out endpoints that no backend server can have reported

Cause: reports of another writer were taken as they came. Port 0, 0.0.0.0, 4,294,967,295 slots, a slow start of 1e300 ms (whose conversion differs between processors), a start at the end of time and a sequence number that no later report reaches were acknowledged. A name that is not UTF-8 was registered although protobuf cannot encode it: from then on no registry was saved and no update that contained it was sent.

Change: registry.Endpoint.Check bounds every field. Reports, messages between control hosts, updates to entry hosts and the saved registry go through it; an invalid entry is left out and logged, the others are used.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -114,22 +115,25 @@
 }
 
 // loadRegistry merges a saved registry into r. It is unknown how long the process was down, so
-// endpoints that were not silent count as having reported now.
+// endpoints that were not silent count as having reported now. Invalid entries, which an earlier
+// build may have saved, are left out and joined to the error.
 func loadRegistry(r *registry.Registry, data []byte, now, silentAfter time.Duration) error {
 	r.Tick(now)
 	u := &wirepb.EndpointUpdate{}
 	if err := proto.Unmarshal(data, u); err != nil {
 		return err
 	}
+	var invalid []error
 	for _, report := range u.GetReports() {
 		e, err := wire.EndpointReportFromProto(report, now)
 		if err != nil {
-			return err
+			invalid = append(invalid, err)
+			continue
 		}
 		if e.LastReportAt = now; e.Silent {
 			e.LastReportAt = now - silentAfter
 		}
 		r.Merge(e)
 	}
-	return nil
+	return errors.Join(invalid...)
 }
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -268,8 +268,8 @@
 	return store, err
 }
 
-// openRegistry reads the saved registry. If the file is missing or damaged, the registry starts
-// empty and is filled by the other hosts and the reports of backend servers.
+// openRegistry reads the saved registry. What is missing or damaged in the file is filled in by the
+// other hosts and the reports of backend servers.
 func (h *Host) openRegistry(now time.Duration) *registry.Registry {
 	s := h.settings
 	silentAfter := silentAfterReports*s.ReportInterval + silentSlack
@@ -282,7 +282,7 @@
 		err = loadRegistry(r, data, now, silentAfter)
 	}
 	if err != nil {
-		h.log.Warn("saved endpoints cannot be read", "error", err)
+		h.log.Warn("saved endpoints cannot be read in full", "error", err)
 	}
 	h.log.Info("saved endpoints read", "endpoints", r.Len())
 	return r
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -168,6 +168,7 @@
 	if membershipDiffers(previous.Members, s.Members) {
 		d.log.Info("membership", "members", fmt.Sprint(s.Members), "committed", !s.MembershipChanging)
 		d.linksInbox.Offer(membersChanged{members: s.Members})
+		d.pruneMemberDomains()
 		d.publishControlHosts()
 	}
 	if previous.Role == changelog.Leader && s.Role != changelog.Leader {
@@ -175,6 +176,16 @@
 	}
 }
 
+// pruneMemberDomains removes the failure domains of hosts that have left the membership.
+func (d *stateDuty) pruneMemberDomains() {
+	for id := range d.memberDomains {
+		_, isMember := d.status.Members.Find(id)
+		if _, isJoining := d.joinRequests[id]; !isMember && !isJoining && id != d.self.ID {
+			delete(d.memberDomains, id)
+		}
+	}
+}
+
 func membershipDiffers(a, b changelog.Membership) bool { return fmt.Sprint(a) != fmt.Sprint(b) }
 
 // applyCommitted applies log entries in order and answers the requests that waited for them.
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/registry"
@@ -387,3 +389,45 @@
 		Expect(h.linksInbox.Depth()).To(Equal(1))
 	})
 })
+
+// implausible returns the message for an endpoint that no backend server can have reported.
+func implausible(id uint64) *wirepb.EndpointReport {
+	report := wire.EndpointReportToProto(endpoint(id), 0)
+	report.Slots = math.MaxUint32
+	return report
+}
+
+var _ = Describe("invalid entries", func() {
+	// Guards against a control host that starts without endpoints because an earlier build saved one
+	// entry that is invalid now.
+	It("of the saved registry are left out", func() {
+		data, err := proto.Marshal(&wirepb.EndpointUpdate{Reports: []*wirepb.EndpointReport{
+			wire.EndpointReportToProto(endpoint(1), 0), implausible(2), wire.EndpointReportToProto(endpoint(3), 0),
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		r := registry.New(registry.Limits{SilentAfter: time.Second, ForgetAfter: time.Minute})
+		Expect(loadRegistry(r, data, time.Hour, time.Second)).To(MatchError(ContainSubstring("i-2")))
+		Expect(r.Len()).To(Equal(2))
+	})
+
+	// Guards against an entry that another control host, of an earlier build, has accepted.
+	It("of another control host change nothing", func() {
+		h := newStateHarness()
+		h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{Reports: []*wirepb.EndpointReport{implausible(2), wire.EndpointReportToProto(endpoint(3), 0)}}})
+		Expect(h.registry.All()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("failure domains of members", func() {
+	// Guards against memory that grows with each host that has ever been a member.
+	It("are forgotten when the host leaves", func() {
+		h := newStateHarness().becomeLeader()
+		for id := uint64(1); id <= 3; id++ {
+			h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{FromId: id, FromDomain: "a"}})
+		}
+		members := changelog.Membership{{ID: 1, Address: "127.0.0.1:1", Voter: true}, {ID: 3, Address: "127.0.0.1:3", Voter: true}}
+		h.handleEvent(statusChanged{changelog.Status{ID: 1, Role: changelog.Leader, Leader: 1, Term: 1, Members: members}})
+		Expect(h.memberDomains).To(HaveLen(2))
+		Expect(h.memberDomains).To(HaveKey(uint64(3)))
+	})
+})
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -112,3 +112,15 @@
 		Expect(h.engine.Version()).To(BeEquivalentTo(1))
 	})
 })
+
+var _ = Describe("invalid endpoints", func() {
+	// Guards against an entry host that sends all new flows to an endpoint that cannot exist, or stops
+	// following because of it.
+	It("are left out, and the others of the update are used", func() {
+		h := newEngineHarness()
+		odd := reportOf(1, 1, registry.Ready, false)
+		odd.Address = "0.0.0.0:0"
+		h.receive(&wirepb.EdgeUpdate{Table: routes(1), Endpoints: []*wirepb.EndpointReport{odd, reportOf(2, 1, registry.Ready, false)}})
+		Expect(h.engine.EndpointCount()).To(Equal(1))
+	})
+})
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -22,24 +23,33 @@
 	return p
 }
 
-// EndpointReportFromProto converts an endpoint from another host. Durations in the message
-// become times of this host's clock, relative to now.
+// maxReportAge bounds the age of a report. Endpoints are forgotten after minutes without one.
+const maxReportAge = 24 * time.Hour
+
+// EndpointReportFromProto converts an endpoint from another host or from a saved registry. Durations
+// in the message become times of this host's clock, relative to now. It returns an error for an
+// endpoint that registry.Endpoint.Check rejects.
 func EndpointReportFromProto(p *wirepb.EndpointReport, now time.Duration) (registry.Endpoint, error) {
 	e := registry.Endpoint{
 		ID: p.GetId(), Name: p.GetName(), StartedAtMs: p.GetBornMs(), Seq: p.GetSeq(), Service: p.GetService(), Domain: p.GetDomain(),
 		Slots: p.GetSlots(), State: registry.State(p.GetState()), ColdUntil: now + milliseconds(p.GetColdForMs()),
 		LastReportAt: now - milliseconds(p.GetAgeMs()), Silent: p.GetSilent(),
 	}
-	if p.GetState() < uint32(registry.Ready) || p.GetState() > uint32(registry.Gone) {
+	if p.GetState() > math.MaxUint8 {
 		return e, fmt.Errorf("endpoint %s: unknown state %d", e.Name, p.GetState())
 	}
-	if p.GetAddress() == "" {
-		return e, nil
+	if age, limit := p.GetAgeMs(), maxReportAge.Milliseconds(); age < 0 || age > limit || p.GetColdForMs() > limit {
+		return e, fmt.Errorf("endpoint %s: an age of %d ms or a slow start of %d ms is out of range", e.Name, age, p.GetColdForMs())
+	}
+	if p.GetAddress() != "" {
+		address, err := netip.ParseAddrPort(p.GetAddress())
+		if err != nil {
+			return e, fmt.Errorf("endpoint %s: %w", e.Name, err)
+		}
+		e.Address = address
 	}
-	address, err := netip.ParseAddrPort(p.GetAddress())
-	if err != nil {
+	if err := e.Check(e.ColdUntil - now); err != nil {
 		return e, fmt.Errorf("endpoint %s: %w", e.Name, err)
 	}
-	e.Address = address
 	return e, nil
 }
