Keep stream readers waiting while a session ends

SIGQUIT showed a reader in yamux.(*Stream).Read, a receive loop that was ready to run, and no other goroutine that did anything.

Cause: yamux closes its shutdown channel before the receive loop has returned. From then until the streams are closed, each goroutine that reads a stream runs in a loop without waiting.

Change: the keepalive, Close and a failed write close the connection and leave the end of the session to the receive loop, so that the session ends only after reading has ended.

TestReadersWaitWhileSessionEnds failed in its three cases before ("a reader is in state runnable").

--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -43,7 +44,8 @@
 
 // Session is a yamux session with one peer process.
 type Session struct {
-	mux *yamux.Session
+	mux  *yamux.Session
+	conn *sessionConn
 }
 
 // Stream carries envelopes in order, in both directions. One goroutine may send
@@ -56,7 +58,7 @@
 
 func (t Timeouts) muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = t.KeepAlive
+	c.EnableKeepAlive = false // see Session.keepAlive
 	c.ConnectionWriteTimeout = t.Write
 	c.LogOutput = io.Discard
 	return c
@@ -76,11 +78,41 @@
 			return nil, fmt.Errorf("dial %s: %w", address, err)
 		}
 	}
-	mux, err := yamux.Client(conn, t.muxConfig())
+	session, err := newSession(conn, t, yamux.Client)
 	if err != nil {
-		return nil, errors.Join(fmt.Errorf("open session with %s: %w", address, err), conn.Close())
+		return nil, fmt.Errorf("open session with %s: %w", address, err)
+	}
+	return session, nil
+}
+
+// newSession starts a session on a connection, which it closes if it fails.
+func newSession(conn net.Conn, t Timeouts, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
+	s := &Session{conn: &sessionConn{Conn: conn, readEnded: make(chan struct{}), muxEnded: make(chan struct{})}}
+	var err error
+	if s.mux, err = start(s.conn, t.muxConfig()); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	go s.keepAlive(t.KeepAlive)
+	return s, nil
+}
+
+// keepAlive closes the connection when the peer does not answer a probe. The keepalive of yamux ends the
+// session instead, and until its receive loop has returned, each goroutine that reads a stream then
+// runs in a loop without waiting.
+func (s *Session) keepAlive(interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-ticker.C:
+			if _, err := s.mux.Ping(); err != nil {
+				_ = s.conn.Conn.Close() // fails only if it is closed already
+				return
+			}
+		}
 	}
-	return &Session{mux: mux}, nil
 }
 
 func clientHandshake(ctx context.Context, conn net.Conn, config *tls.Config, timeout time.Duration) (net.Conn, error) {
@@ -99,11 +131,11 @@
 	if config != nil {
 		conn = tls.Server(conn, config)
 	}
-	mux, err := yamux.Server(conn, t.muxConfig())
+	session, err := newSession(conn, t, yamux.Server)
 	if err != nil {
-		return nil, errors.Join(fmt.Errorf("accept session: %w", err), conn.Close())
+		return nil, fmt.Errorf("accept session: %w", err)
 	}
-	return &Session{mux: mux}, nil
+	return session, nil
 }
 
 // Open opens a stream to the peer.
@@ -124,8 +156,51 @@
 	return newStream(conn), nil
 }
 
-// Close ends the session and all its streams.
-func (s *Session) Close() error { return s.mux.Close() }
+// Close ends the session and all its streams. It closes the connection first, so that the receive loop
+// of yamux has returned when the session ends (see keepAlive).
+func (s *Session) Close() error {
+	err := s.conn.Conn.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	<-s.mux.CloseChan()
+	return errors.Join(err, s.mux.Close())
+}
+
+// sessionConn is the connection of a session.
+type sessionConn struct {
+	net.Conn
+	readEnded, muxEnded chan struct{} // closed after the first read error, and when yamux ends the session
+	readOnce, muxOnce   sync.Once
+}
+
+func (c *sessionConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.readOnce.Do(func() { close(c.readEnded) })
+	}
+	return n, err
+}
+
+// Write returns an error only after reading has ended too, because yamux ends the session on a write
+// error (see Session.keepAlive).
+func (c *sessionConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		_ = c.Conn.Close() // the write error is returned
+		select {
+		case <-c.readEnded:
+		case <-c.muxEnded:
+		}
+	}
+	return n, err
+}
+
+// Close is called by yamux when it ends the session.
+func (c *sessionConn) Close() error {
+	c.muxOnce.Do(func() { close(c.muxEnded) })
+	return c.Conn.Close()
+}
 
 func newStream(conn net.Conn) *Stream {
 	return &Stream{conn: conn, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -168,3 +172,90 @@
 		t.Fatal(err)
 	}
 }
+
+// heldConn is a connection whose Read returns only after release is closed, once the connection is closed.
+type heldConn struct {
+	net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
+	release   chan struct{}
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		<-c.release
+	}
+	return n, err
+}
+
+func (c *heldConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// streamReaderStates returns the states of the goroutines that read a stream.
+func streamReaderStates() []string {
+	buf := make([]byte, 1<<20)
+	var states []string
+	for _, g := range strings.Split(string(buf[:runtime.Stack(buf, true)]), "\n\n") {
+		if strings.Contains(g, "yamux.(*Stream).Read") {
+			states = append(states, strings.Trim(g[strings.Index(g, "["):strings.Index(g, "]")], "["))
+		}
+	}
+	return states
+}
+
+// TestReadersWaitWhileSessionEnds guards against goroutines that read a stream and run in a loop from the end
+// of a session until its receive loop has returned. On a host with one core they kept that loop from running.
+func TestReadersWaitWhileSessionEnds(t *testing.T) {
+	timeouts := wire.Timeouts{KeepAlive: 20 * time.Millisecond, Write: 20 * time.Millisecond, Dial: time.Second}
+	for name, end := range map[string]func(*wire.Session, net.Conn){
+		"closed here":       func(s *wire.Session, _ net.Conn) { go func() { _ = s.Close() }() },
+		"no answer to ping": func(*wire.Session, net.Conn) {},
+		"closed by peer":    func(_ *wire.Session, peer net.Conn) { _ = peer.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			local, peer := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, peer) }() // takes probes and does not answer
+			conn := &heldConn{Conn: local, closed: make(chan struct{}), release: make(chan struct{})}
+			session, err := wire.Accept(conn, nil, timeouts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			// The peer opens a stream.
+			if _, err := peer.Write([]byte{0, 1, 0, 1, 0, 0, 0, 1, 0, 0, 0, 0}); err != nil {
+				t.Fatal(err)
+			}
+			stream, err := session.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = stream.Receive()
+			}()
+			for len(streamReaderStates()) == 0 {
+				runtime.Gosched()
+			}
+			end(session, peer)
+			if name != "closed by peer" {
+				<-conn.closed
+			}
+			for range 20 {
+				time.Sleep(time.Millisecond)
+				for _, state := range streamReaderStates() {
+					if !strings.HasPrefix(state, "select") {
+						t.Fatalf("a reader is in state %q", state)
+					}
+				}
+			}
+			close(conn.release)
+			<-ended
+			if err := session.Close(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
