Begin another attempt to connect every 50 ms

Cause: after a loss of power an entry host dials control hosts that are not up yet. TCP sends a lost SYN again after a second, so each attempt was given up after 200 ms and the next one began then.

Change: an attempt that has no answer within 50 ms goes on beside a new one, and the first connection is used.

--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -68,7 +68,9 @@
 // which the settings allow only on loopback addresses.
 func Dial(ctx context.Context, address string, config *tls.Config, t Timeouts) (*Session, error) {
 	dialer := &net.Dialer{Timeout: t.Dial}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := firstConnection(ctx, redialInterval, func(ctx context.Context) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -85,6 +87,45 @@
 	return session, nil
 }
 
+// redialInterval is the time without an answer after which another attempt to open a connection begins.
+// TCP sends a lost SYN again after a second only, and a host that is just starting would be reached late.
+const redialInterval = 50 * time.Millisecond
+
+// firstConnection returns the first connection that an attempt opens. It begins an attempt in each interval
+// until one succeeds or fails, and returns the error of the first one that fails.
+func firstConnection(ctx context.Context, interval time.Duration, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the other attempts
+	results := make(chan result)
+	attempt := func() {
+		conn, err := dial(ctx)
+		select {
+		case results <- result{conn, err}:
+		case <-ctx.Done():
+			if conn != nil {
+				_ = conn.Close() // another attempt was faster
+			}
+		}
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	go attempt()
+	for {
+		select {
+		case r := <-results:
+			return r.conn, r.err
+		case <-ticker.C:
+			go attempt()
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // newSession starts a session on a connection, which it closes if it fails.
 func newSession(conn net.Conn, t Timeouts, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
 	s := &Session{conn: &sessionConn{Conn: conn, readEnded: make(chan struct{}), muxEnded: make(chan struct{})}}
