Reset idle flows of endpoints that have ended or answer nothing

Cause: callers kept flows to endpoints that had died without notice and sent their next request on them. The request waited until its time was over, or the flow was reset then; a request that may run once only could not be repeated.

Change: when a newer incarnation uses the address of an endpoint, 4 s after an endpoint has left, or when one of its flows has stalled and three have had no answer, the entry host resets the flows that are idle. Their callers open another one. A flow with a request in progress is left as before. Resets are sent with each tick, a bounded number at a time.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -35,6 +35,9 @@
 	snapshot        demandSnapshot
 	suspicions      []Suspicion // since the last call of TakeSuspicions
 	excesses        []Excess    // since the last call of TakeExcesses
+	unresponsive    []*endpoint // with a stalled flow since the last Tick
+	ending          []*endpoint // gone or replaced; their idle flows have not been reset yet
+	resets          []FlowReset // not yet taken by TakeResets
 }
 
 // route is a compiled route.
@@ -165,8 +168,8 @@
 		}
 		ep.Endpoint = s
 	}
-	if ep.Gone && ep.goneAt < 0 {
-		ep.goneAt = now
+	if ep.Gone {
+		e.markEnding(now, ep)
 	}
 	ep.loadPerFlow = 1 / float64(max(ep.Slots, 1))
 	e.setDomainFactors(ep)
@@ -213,17 +216,13 @@
 	if holder == nil || holder == ep || holder.StartedAtMs <= ep.StartedAtMs {
 		if holder != nil && holder != ep && holder.StartedAtMs < ep.StartedAtMs {
 			holder.replaced = true
-			if holder.goneAt < 0 {
-				holder.goneAt = now
-			}
+			e.markEnding(now, holder)
 		}
 		e.byAddress[ep.Address] = ep
 		return
 	}
 	ep.replaced = true
-	if ep.goneAt < 0 {
-		ep.goneAt = now
-	}
+	e.markEnding(now, ep)
 }
 
 func (e *Engine) addToService(ep *endpoint) {
@@ -308,7 +307,11 @@
 		return d
 	}
 	f, retransmits := e.trackLater(now, p, f, ep)
-	if f != nil && retransmits > 0 && r.idempotent && f.progress.stalled(now) && ep.health.failures >= suspectFailures {
+	stalled := f != nil && retransmits > 0 && f.progress.stalled(now)
+	if stalled {
+		e.markUnresponsive(ep)
+	}
+	if stalled && r.idempotent && ep.health.failures >= suspectFailures {
 		e.removeFlow(f)
 		return Decision{Verdict: Reset, Reason: Stalled, Endpoint: &ep.Endpoint, DataRetransmits: retransmits, Age: now - f.progress.sentAt}
 	}
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -187,10 +187,11 @@
 }
 
 // Tick removes expired flows and an outdated demand snapshot, evaluates flows that were abandoned,
-// and observes the usage of the services.
+// resets idle flows of endpoints that have ended, and observes the usage of the services.
 func (e *Engine) Tick(now time.Duration) {
 	e.expireDemand(now)
 	e.checkAbandoned(now)
+	e.resetIdleFlows(now)
 	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= pendingTimeout; f = e.lists[pending].oldest {
 		e.removeFlow(f)
 	}
--- a/internal/affinity/stall_test.go
+++ b/internal/affinity/stall_test.go
@@ -149,3 +149,119 @@
 		Expect(seen).To(HaveKey(refusing))
 	})
 })
+
+var _ = Describe("idle flows", func() {
+	// openIdle opens a flow to an endpoint of the desk service, whose requests may run once only.
+	openIdle := func(e *affinity.Engine, port int, id uint64) {
+		e.Decide(0, dataPacket(desk, port, affinity.Token(id), 101, 5))
+		p := dataPacket(desk, port, affinity.Token(id), 111, 6)
+		p.Length = 0
+		e.Decide(0, p)
+	}
+	// stall retransmits the data of a flow twice.
+	stall := func(e *affinity.Engine, port int, id uint64) {
+		for _, at := range []time.Duration{0, firstRetransmit, secondRetransmit} {
+			e.Decide(at, dataPacket(desk, port, affinity.Token(id), 101, 5))
+		}
+	}
+	callers := func(resets []affinity.FlowReset) []int {
+		var ports []int
+		for _, r := range resets {
+			ports = append(ports, int(r.Caller.Port()))
+		}
+		return ports
+	}
+
+	// Guards against a request that fails because its caller kept a flow to an endpoint that had ended:
+	// the request was answered by a reset, and one that may run once only could not be repeated.
+	It("are reset when a newer incarnation uses the address of their endpoint", func() {
+		e := newEngine()
+		openIdle(e, 1, 1)
+		openIdle(e, 2, 2)
+		successor := endpoint(20, "sheet", "a")
+		successor.Address, successor.StartedAtMs = endpoint(1, "desk", "a").Address, 2000
+		e.Upsert(time.Second, successor)
+		e.Tick(1500 * time.Millisecond)
+		Expect(e.TakeResets(9)).To(BeEmpty(), "the endpoint may still send its last answers")
+		e.Tick(2 * time.Second)
+		got := e.TakeResets(9)
+		Expect(callers(got)).To(Equal([]int{1}))
+		Expect(got[0].Ack).To(BeEquivalentTo(6))
+		e.Tick(3 * time.Second)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+	})
+
+	// Guards against resets because of a removal report that was delayed and is overruled by a newer report.
+	It("are reset when their endpoint has left and no newer report overrules that", func() {
+		e := newEngine()
+		openIdle(e, 1, 1)
+		gone := endpoint(1, "desk", "a")
+		gone.AcceptsFlows, gone.Gone = false, true
+		e.Upsert(0, gone)
+		e.Tick(3 * time.Second)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+		restarted := endpoint(1, "desk", "a")
+		restarted.StartedAtMs = 2000
+		e.Upsert(3*time.Second, restarted)
+		e.Tick(9 * time.Second)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+		gone.StartedAtMs = 2000
+		e.Upsert(9*time.Second, gone)
+		e.Tick(13 * time.Second)
+		Expect(callers(e.TakeResets(9))).To(Equal([]int{1}))
+	})
+
+	// Guards against callers that send request after request on flows to an endpoint that has died without
+	// notice; each of them would wait until its time is over.
+	It("are reset when three flows of their endpoint have no answer and one has stalled", func() {
+		e := newEngine()
+		openIdle(e, 1, 1)
+		openIdle(e, 2, 2)
+		for port := 11; port <= 13; port++ {
+			stall(e, port, 1)
+		}
+		e.Tick(secondRetransmit)
+		Expect(callers(e.TakeResets(9))).To(Equal([]int{1}), "neither the stalled flows nor those of other endpoints")
+	})
+
+	It("are kept when fewer flows have no answer, or one has had an answer since", func() {
+		e := newEngine()
+		openIdle(e, 1, 1)
+		for port := 11; port <= 12; port++ {
+			stall(e, port, 1)
+		}
+		e.Tick(secondRetransmit)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+		stall(e, 13, 1)
+		e.Decide(secondRetransmit, dataPacket(desk, 14, affinity.Token(1), 101, 5))
+		e.Decide(secondRetransmit, dataPacket(desk, 14, affinity.Token(1), 111, 7))
+		e.Tick(secondRetransmit)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+	})
+
+	// Guards against resets by a host that was frozen: it reads all retransmissions at once.
+	It("are kept when the retransmissions arrive together", func() {
+		e := newEngine()
+		openIdle(e, 1, 1)
+		for range 3 {
+			for port := 11; port <= 13; port++ {
+				e.Decide(5*time.Second, dataPacket(desk, port, affinity.Token(1), 101, 5))
+			}
+		}
+		e.Tick(5 * time.Second)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+	})
+
+	It("are reset a limited number at a time", func() {
+		e := newEngine()
+		for port := 1; port <= 5; port++ {
+			openIdle(e, port, 1)
+		}
+		gone := endpoint(1, "desk", "a")
+		gone.AcceptsFlows, gone.Gone = false, true
+		e.Upsert(0, gone)
+		e.Tick(5 * time.Second)
+		Expect(e.TakeResets(3)).To(HaveLen(3))
+		Expect(e.TakeResets(3)).To(HaveLen(2))
+	})
+})
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -108,6 +108,13 @@
 	DataRetransmits int           // how often the caller has retransmitted the data of this packet
 }
 
+// FlowReset is a reset to send to the caller of an idle flow whose endpoint has ended.
+type FlowReset struct {
+	Caller, Service netip.AddrPort
+	Ack             uint32 // acknowledgment number of the caller's last packet
+	Endpoint        string // name of the endpoint
+}
+
 // Suspicion reports that this host has started or stopped to suspect an endpoint of failure.
 type Suspicion struct {
 	Endpoint string // its name
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -17,6 +17,8 @@
 	unconfirmedStateWait = 2 * time.Second
 	// maxFlowLinesPerSecond is the maximum rate of log lines about individual flows.
 	maxFlowLinesPerSecond = 50
+	// maxResetsPerTick leaves most of the ring of outgoing packets to forwarded packets.
+	maxResetsPerTick = datagramCount / 4
 	// ticksPerSecond is the number of ticks between updates of the metrics and the demand.
 	ticksPerSecond = int(time.Second / tickInterval)
 )
@@ -133,6 +135,7 @@
 	for _, x := range d.engine.TakeExcesses() {
 		d.log.Info("excess of flows", "service", x.Service, "begins", x.Begins, "flowsPerSlot", x.Load, "meanFlowsPerSlot", x.Mean, "factor", x.Factor)
 	}
+	d.sendResets()
 	if d.ticks++; d.ticks%ticksPerSecond != 0 {
 		return
 	}
@@ -146,6 +149,20 @@
 	d.metrics.endpoints.Update(int64(d.engine.EndpointCount()))
 }
 
+// sendResets sends resets of idle flows, a bounded number per tick.
+func (d *engineDuty) sendResets() {
+	resets := d.engine.TakeResets(maxResetsPerTick)
+	if len(resets) == 0 {
+		return
+	}
+	for _, r := range resets {
+		// The buffers of received packets are not used, since the packet reader waits for them.
+		d.packetsOut.Offer(&datagram{packet: affinity.Packet{Caller: r.Caller, Service: r.Service, Ack: r.Ack}, verdict: affinity.Reset})
+	}
+	d.metrics.idleResets.Inc(int64(len(resets)))
+	d.log.Info("idle flows reset", "count", len(resets), "firstFlow", resets[0].Caller, "firstEndpoint", resets[0].Endpoint)
+}
+
 // applyUpdate applies an update from the control host.
 func (d *engineDuty) applyUpdate(u *wirepb.EdgeUpdate) {
 	if routeTable := u.GetTable(); routeTable != nil {
