Test that late packets of an earlier flow stay with its endpoint

For the report of a second, late answer on a connection in use again: the caller's port is reused within a second. It passes without a change.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -227,6 +227,21 @@
 		Expect(e.Decide(220*time.Millisecond, laterPacket(desk, caller, two, 6)).Endpoint.ID).To(Equal(opened))
 	})
 
+	// Guards against packets of an earlier flow that reach the endpoint of a later one, whose caller uses the
+	// same port: an answer to them would not be the later flow's own.
+	It("sends late packets of an earlier flow of the same port to the endpoint of that flow", func() {
+		e := newEngine()
+		earlier := e.Decide(0, firstPacket(desk, caller, 0))
+		e.Decide(0, laterPacket(desk, caller, earlier.Token, 5))
+		first := firstPacket(desk, caller, 0)
+		first.Seq = 9000
+		later := e.Decide(time.Second, first)
+		Expect(later.Reason).To(Equal(affinity.Placed))
+		Expect(later.Token).NotTo(Equal(earlier.Token))
+		Expect(e.Decide(time.Second, laterPacket(desk, caller, earlier.Token, 5)).Endpoint.ID).To(Equal(earlier.Endpoint.ID))
+		Expect(e.Decide(time.Second, laterPacket(desk, caller, later.Token, 7)).Endpoint.ID).To(Equal(later.Endpoint.ID))
+	})
+
 	// Guards against new flows on an endpoint that answers no caller.
 	It("avoids an endpoint that has not answered its callers", func() {
 		e := newEngine()
