Answer accepted requests before a control host stops; save at once who left

A planned stop ended the state duty while changes waited for their commit and reads for their confirmation. Nobody answered them, and the handlers waited until the process ended: accepted requests were cut off. A stopping control host now refuses new requests (503), answers those in progress for up to a second, and fails the rest with 503.

The registry was saved at most every 0.7 s. It is now saved within 0.1 s when an endpoint drains or leaves.

Tests: internal/cluster "answers the requests in progress and refuses new ones" (the event is new, so it has no run on the old code) and "contains soon that an endpoint has left".

--- a/internal/cluster/api.go
+++ b/internal/cluster/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"cassiawood/internal/registry"
@@ -21,6 +22,9 @@
 // this one later. A change that failed with it may still come into force.
 var ErrUnavailable = errors.New("no contact with a majority of the control hosts")
 
+// errStopping reports that this host is being stopped.
+var errStopping = fmt.Errorf("this control host is stopping: %w", ErrUnavailable)
+
 // NotLeaderError reports that this host is not the leader. Address is that of the leader.
 type NotLeaderError struct{ Address string }
 
--- a/internal/cluster/desired.go
+++ b/internal/cluster/desired.go
@@ -17,7 +17,7 @@
 		e.reply.Offer(answer{})
 		return nil
 	}
-	if err := d.checkLeader(); err != nil {
+	if err := d.checkTakesRequests(); err != nil {
 		d.log.Info("desired state not taken", "version", version, "reason", err)
 		e.reply.Offer(answer{err: err})
 		return nil
@@ -35,7 +35,7 @@
 
 // handleGet answers after a majority has confirmed that this host still leads.
 func (d *stateDuty) handleGet(e getDesired) {
-	if err := d.checkLeader(); err != nil {
+	if err := d.checkTakesRequests(); err != nil {
 		e.reply.Offer(answer{err: err})
 		return
 	}
@@ -46,9 +46,12 @@
 	}
 }
 
-// checkLeader returns nil on the leader, else the error that directs the caller to another host.
-func (d *stateDuty) checkLeader() error {
+// checkTakesRequests returns nil on the leader unless it is stopping, else the error that directs the
+// caller to another host.
+func (d *stateDuty) checkTakesRequests() error {
 	switch {
+	case d.isStopping:
+		return errStopping
 	case d.isLeader():
 		return nil
 	case d.hasMajorityContact() && d.leaderAddress() != "":
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -18,11 +18,19 @@
 	signOfLifeInterval = 400 * time.Millisecond
 	// registrySaveInterval is the minimum time between writes of the registry to disk.
 	registrySaveInterval = 700 * time.Millisecond
+	// leaveSaveInterval replaces it when an endpoint leaves, so that a restart of all control hosts does
+	// not bring it back.
+	leaveSaveInterval = 100 * time.Millisecond
 )
 
 // handleReport merges a report of a backend server and sends it to the other control hosts before
 // acknowledging it.
 func (d *stateDuty) handleReport(e endpointReported) {
+	if d.isStopping {
+		// The endpoint calls another host. A report that is merged here might not be sent on any more.
+		e.reply.Offer(answer{err: errStopping})
+		return
+	}
 	reported := e.endpoint
 	if desired := d.routes.Desired(); reported.State != registry.Gone && desired.Version > 0 && !slices.Contains(desired.Services, reported.Service) {
 		e.reply.Offer(answer{err: RejectedError{Reason: fmt.Sprintf("no service has the name %q", reported.Service)}})
@@ -42,6 +50,7 @@
 
 func (d *stateDuty) endpointChanged(e registry.Endpoint, source string) {
 	d.registryChanged, d.unpublishedEndpoints[e.ID], d.lastFullState.frames = true, true, nil
+	d.endpointLeft = d.endpointLeft || e.State != registry.Ready
 	d.log.Info("endpoint changed", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "address", e.Address, "domain", e.Domain,
 		"born", e.StartedAtMs, "seq", e.Seq, "slots", e.Slots, "coldMs", max(0, e.ColdUntil-d.now).Milliseconds(), "source", source)
 }
@@ -102,7 +111,11 @@
 // saveRegistry hands the registry to the duty that writes it to disk. The file only shortens the
 // time without known endpoints after all hosts were down, so its loss is harmless.
 func (d *stateDuty) saveRegistry() {
-	if !d.registryChanged || d.now-d.registrySavedAt < registrySaveInterval {
+	interval := registrySaveInterval
+	if d.endpointLeft {
+		interval = leaveSaveInterval
+	}
+	if !d.registryChanged || d.now-d.registrySavedAt < interval {
 		return
 	}
 	data, err := proto.Marshal(&wirepb.EndpointUpdate{Reports: d.allEndpoints()})
@@ -110,7 +123,7 @@
 		d.log.Error("cannot encode registry", "error", err)
 		return
 	}
-	d.registryChanged, d.registrySavedAt = false, d.now
+	d.registryChanged, d.endpointLeft, d.registrySavedAt = false, false, d.now
 	d.registrySnapshots.Offer(data)
 }
 
--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -31,6 +31,12 @@
 		reply   *ring.Ring[answer]
 	}
 	getDesired struct{ reply *ring.Ring[answer] }
+	// stopping is sent repeatedly while the host stops. The reply is the number of requests that wait for
+	// an answer. The final one fails them.
+	stopping struct {
+		final bool
+		reply *ring.Ring[int]
+	}
 	// subscribe and unsubscribe come from the streams of entry hosts.
 	subscribe struct {
 		host, domain string
@@ -68,6 +74,7 @@
 func (peerUpdate) isEvent()       {}
 func (joinRequest) isEvent()      {}
 func (seedsChanged) isEvent()     {}
+func (stopping) isEvent()         {}
 
 // logOutput passes the output of the log duty to the state duty and the links.
 type logOutput struct {
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -50,6 +50,8 @@
 	keptLogEntries = 16
 	// handlerTimeout exceeds the longest stall from which a disk recovers.
 	handlerTimeout = time.Minute
+	// drainLimit is the time for a commit or a confirmation, well below the time that a process has to stop.
+	drainLimit = time.Second
 	// openRetryInterval is the pause between attempts to open the data folder.
 	openRetryInterval = 250 * time.Millisecond
 	// openTimeout bounds these attempts; a full or stalled disk recovers within seconds.
@@ -309,7 +311,9 @@
 	})
 }
 
+// stop ends the host after the requests that it has accepted.
 func (h *Host) stop(ctx context.Context) error {
+	h.drain()
 	h.group.BeginStop()
 	h.stopLinks()
 	h.stateInbox.Close()
@@ -321,3 +325,17 @@
 	h.linksDuty.close()
 	return errors.Join(err, h.storageDuty.Close())
 }
+
+// drain has new requests refused, so that callers turn to another host, and waits until those in progress
+// are answered, at most drainLimit. The rest are then answered with ErrUnavailable.
+func (h *Host) drain() {
+	for deadline := h.clock() + drainLimit; ; time.Sleep(tickInterval) {
+		reply := ring.New[int]("requests in progress", 1, ring.DropNewest)
+		if _, err := h.stateInbox.Put(stopping{final: h.clock() >= deadline, reply: reply}); err != nil {
+			return
+		}
+		if pending, err := reply.Get(); err != nil || pending == 0 {
+			return
+		}
+	}
+}
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -68,7 +68,9 @@
 	peerDemand           map[string]demandReport // by address of the control host
 	demandSentAt         time.Duration           // last broadcast of the demand
 	registryChanged      bool                    // the registry has changed since it was saved
+	endpointLeft         bool                    // so has an endpoint's state, to draining or gone
 	registrySavedAt      time.Duration           // last save of the registry
+	isStopping           bool                    // new requests are refused
 	loggedContact        bool                    // last logged result of hasMajorityContact
 }
 
@@ -120,6 +122,8 @@
 		d.mergePeerUpdate(e.update)
 	case joinRequest:
 		d.handleJoinRequest(e)
+	case stopping:
+		d.handleStopping(e)
 	case seedsChanged:
 		d.seeds = e.seeds
 		d.log.Info("seeds changed", "seeds", e.seeds)
@@ -189,6 +193,18 @@
 
 func membershipDiffers(a, b changelog.Membership) bool { return fmt.Sprint(a) != fmt.Sprint(b) }
 
+// handleStopping refuses requests from now on and reports how many are in progress.
+func (d *stateDuty) handleStopping(e stopping) {
+	if !d.isStopping {
+		d.isStopping = true
+		d.log.Info("stopping", "role", d.status.Role.String(), "writesInProgress", len(d.pendingPuts), "readsInProgress", len(d.pendingGets))
+	}
+	if e.final {
+		d.failPending()
+	}
+	e.reply.Offer(len(d.pendingPuts) + len(d.pendingGets))
+}
+
 // applyCommitted applies log entries in order and answers the requests that waited for them.
 func (d *stateDuty) applyCommitted(c replica.Committed) error {
 	if s := c.Snapshot; s != nil {
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -498,3 +498,59 @@
 		Expect(h.memberDomains).To(HaveKey(uint64(3)))
 	})
 })
+
+var _ = Describe("saved registry", func() {
+	// Guards against new flows to an endpoint that left just before all control hosts were killed: they read
+	// the registry of before from their disks.
+	It("contains soon that an endpoint has left", func() {
+		h := newStateHarness()
+		h.handleEvent(endpointReported{endpoint: endpoint(1), reply: newReply()})
+		h.advance(registrySaveInterval)
+		_, err := h.registrySnapshots.Get()
+		Expect(err).NotTo(HaveOccurred())
+		h.handleEvent(endpointReported{endpoint: registry.Endpoint{ID: 1, State: registry.Gone}, reply: newReply()})
+		h.advance(2 * leaveSaveInterval)
+		Expect(h.registrySnapshots.Depth()).To(Equal(1))
+		saved, err := h.registrySnapshots.Get()
+		Expect(err).NotTo(HaveOccurred())
+		r := registry.New(registry.Limits{SilentAfter: time.Second, ForgetAfter: time.Minute})
+		Expect(loadRegistry(r, saved, h.time, time.Second)).To(Succeed())
+		e, _ := r.Get(1)
+		Expect(e.State).To(Equal(registry.Gone))
+	})
+})
+
+var _ = Describe("planned stop", func() {
+	// stop sends a stopping event and returns the number of requests in progress.
+	stop := func(h *stateHarness, final bool) int {
+		GinkgoHelper()
+		reply := ring.New[int]("reply", 1, ring.DropNewest)
+		h.handleEvent(stopping{final: final, reply: reply})
+		n, err := reply.Get()
+		Expect(err).NotTo(HaveOccurred())
+		return n
+	}
+
+	// Guards against operators whose change was accepted just before the stop and who get no answer.
+	It("answers the requests in progress and refuses new ones", func() {
+		h := newStateHarness().becomeLeader()
+		put, get := newReply(), newReply()
+		h.handleEvent(putDesired{desired(7), put})
+		h.handleEvent(getDesired{get})
+		Expect(stop(h, false)).To(Equal(2))
+
+		late := newReply()
+		h.handleEvent(putDesired{desired(8), late})
+		Expect(singleAnswer(late).err).To(MatchError(errStopping))
+		h.handleEvent(getDesired{late})
+		Expect(singleAnswer(late).err).To(MatchError(errStopping))
+		h.handleEvent(endpointReported{endpoint: endpoint(1), reply: late})
+		Expect(singleAnswer(late).err).To(MatchError(errStopping))
+
+		h.commit(desired(7))
+		Expect(singleAnswer(put).err).NotTo(HaveOccurred())
+		Expect(stop(h, false)).To(Equal(1))
+		Expect(stop(h, true)).To(BeZero())
+		Expect(singleAnswer(get).err).To(MatchError(ErrUnavailable))
+	})
+})
