--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -306,6 +306,23 @@
 		Expect(count[1]).To(BeNumerically("~", 12, 1))
 	})
 
+	// Guards against log lines that do not tell why an endpoint was chosen.
+	It("tells the load of the endpoint that it has chosen", func() {
+		e := newEngine()
+		first := e.Decide(0, firstPacket(desk, caller, 0))
+		Expect([]int{first.Working, first.OpenFlows}).To(Equal([]int{1, 1}))
+		e.Decide(0, dataPacket(desk, 40001, first.Token, 101, 5))
+		idle := dataPacket(desk, 40001, first.Token, 111, 6)
+		idle.Length = 0
+		e.Decide(0, idle)
+		for port := range 2 {
+			e.Decide(0, firstPacket(desk, callerAt(port+1), 0))
+		}
+		fourth := e.Decide(0, firstPacket(desk, callerAt(9), 0))
+		Expect(fourth.Endpoint.ID).To(Equal(first.Endpoint.ID))
+		Expect([]int{fourth.Working, fourth.OpenFlows}).To(Equal([]int{1, 2}))
+	})
+
 	It("spreads flows evenly over equal endpoints", func() {
 		e := newEngine()
 		count := map[uint64]int{}
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -34,7 +34,7 @@
 	f = &flow{key: key, seq: p.Seq, endpoint: ep, startedAt: now, lastPacketAt: now}
 	f.tried = append(f.triedBuffer[:0], ep)
 	e.addFlow(f)
-	return Decision{Verdict: Forward, Reason: Placed, Endpoint: &ep.Endpoint, Token: ep.token}
+	return Decision{Verdict: Forward, Reason: Placed, Endpoint: &ep.Endpoint, Token: ep.token, Working: ep.working, OpenFlows: ep.openFlows}
 }
 
 // decideRetransmission handles a retransmitted first packet. A caller sends one when it has had no
@@ -52,7 +52,10 @@
 		if ep != nil {
 			e.reassign(f, ep)
 			f.tried = append(f.tried, ep)
-			return Decision{Verdict: Forward, Reason: Moved, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.startedAt}
+			return Decision{
+				Verdict: Forward, Reason: Moved, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.startedAt,
+				Working: ep.working, OpenFlows: ep.openFlows,
+			}
 		}
 	}
 	ep := f.endpoint
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -106,6 +106,8 @@
 	Token           uint32        // to write into the packet
 	Age             time.Duration // of a retransmitted first packet: since its first transmission; of a stalled flow: since that of the data
 	DataRetransmits int           // how often the caller has retransmitted the data of this packet
+	Working         int           // of a placed or moved flow: flows of the endpoint with work in progress, this one included
+	OpenFlows       int           // of a placed or moved flow: flows of the endpoint that this host remembers, this one included
 }
 
 // FlowReset is a reset to send to the caller of an idle flow whose endpoint has ended.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -120,7 +120,7 @@
 		"repeats", decision.DataRetransmits, "ageMs", decision.Age.Milliseconds(),
 	}
 	if ep := decision.Endpoint; ep != nil {
-		attributes = append(attributes, "endpoint", ep.Name, "service", ep.Service, "domain", ep.Domain, "silent", ep.Silent)
+		attributes = append(attributes, "endpoint", ep.Name, "service", ep.Service, "domain", ep.Domain, "silent", ep.Silent, "working", decision.Working, "open", decision.OpenFlows)
 	} else {
 		attributes = append(attributes, "token", p.Token)
 	}
