--- a/internal/affinity/load.go
+++ b/internal/affinity/load.go
@@ -32,9 +32,9 @@
 }
 
 // observe records the present numbers of open flows and of flows with work in progress.
-func (u *usage) observe(open, working int) {
+func (u *usage) observe(openFlows, workingFlows int) {
 	u.flows, u.requests = u.flows*usageDecay, u.requests*usageDecay
-	u.open, u.working = u.open*usageDecay+float64(open), u.working*usageDecay+float64(working)
+	u.open, u.working = u.open*usageDecay+float64(openFlows), u.working*usageDecay+float64(workingFlows)
 	u.updateWeights()
 }
 
@@ -65,12 +65,10 @@
 	}
 	e.usageObservedAt = now
 	for _, c := range e.candidates {
-		open, working := 0, 0
-		for _, list := range [...][]*endpoint{c.local, c.remote} {
-			for _, ep := range list {
-				open, working = open+ep.openFlows, working+ep.working
-			}
+		openFlows, workingFlows := 0, 0
+		for _, ep := range c.all() {
+			openFlows, workingFlows = openFlows+ep.openFlows, workingFlows+ep.working
 		}
-		c.usage.observe(open, working)
+		c.usage.observe(openFlows, workingFlows)
 	}
 }
