--- a/internal/affinity/bench_test.go
+++ b/internal/affinity/bench_test.go
@@ -8,7 +8,7 @@
 )
 
 // benchEndpoints is the number of endpoints of a large site.
-const benchEndpoints = 150
+const benchEndpoints = 300
 
 func newBenchEngine() *affinity.Engine {
 	e := affinity.New(affinity.Config{Domain: "a"})
