Let a leaving backend server of the lab finish before it stops

A leaving backend server went on accepting connections after it had reported that none was open, until its owner stopped it. The stateless entry hosts of this test place new flows on it all the time, so a connection that opened in between broke.

Ruled out: the caller and the restarted instance.

Change: a leaving backend server drops first packets once no connection is open, waits until no handshake is in progress either, and reports then that it has left. A first packet that it drops counts as a late flow, as an accepted connection did, so the check is not weaker.

--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -36,6 +36,9 @@
 	// leaveTimeout is the time after which a leaving backend server aborts the
 	// connections that callers keep open.
 	leaveTimeout = 30 * time.Second
+	// firstPacketTimeout is longer than the stack takes to create the connection of a first
+	// packet that it has received.
+	firstPacketTimeout = time.Second
 	// maxAccepted bounds the list of accepted connections.
 	maxAccepted = 1 << 20
 )
@@ -75,7 +78,7 @@
 	Slots                      int
 	Work                       WorkStats
 	Open                       int
-	LateFlows                  uint64 // connections accepted more than 3 s after it began to drain or leave
+	LateFlows                  uint64 // connections accepted, and first packets dropped, more than 3 s after it began to drain or leave
 	Aborted                    uint64 // connections that callers kept open longer than a leaving instance waits
 	Malformed                  uint64 // connections on which a malformed request arrived
 	Announced, AnnounceRefused uint64
--- a/internal/lab/backend_state.go
+++ b/internal/lab/backend_state.go
@@ -21,8 +21,9 @@
 	state          string
 	retiringSince  time.Duration // when it began to drain or leave
 	nextAnnounceAt time.Duration
-	stateAnnounced bool // state has been announced
-	hasLeft        bool // no connection is open and the instance may be stopped
+	stateAnnounced bool          // state has been announced
+	closedSince    time.Duration // when a leaving instance stopped taking connections; 0 before
+	hasLeft        bool          // no connection is open or can open any more; the instance may be stopped
 	faults         BackendFaults
 	history        loadHistory
 	counters       BackendReport // only the counters that backendState updates
@@ -150,9 +151,12 @@
 	}
 }
 
-// leaveIfIdle marks the instance as having left when no connection is open.
+// leaveIfIdle stops taking connections when none is open, and marks the instance as having
+// left when no handshake is in progress either. A connection that opened between the last
+// look and the stop would break.
 func (s *backendState) leaveIfIdle(now time.Duration) {
-	if now-s.retiringSince > leaveTimeout {
+	leaving := now - s.retiringSince
+	if leaving > leaveTimeout {
 		for c := range s.conns {
 			s.counters.Aborted++
 			s.endConn(c, c.abort)
@@ -160,8 +164,16 @@
 	}
 	// Until the limit, entry hosts that do not know its state yet may still send
 	// new connections.
-	if len(s.conns) == 0 && now-s.retiringSince > newFlowGracePeriod {
-		s.hasLeft = true
+	if len(s.conns) > 0 || leaving <= newFlowGracePeriod {
+		return
+	}
+	stack := s.backend.stack
+	switch {
+	case s.closedSince == 0:
+		s.closedSince = now
+		stack.link.dropNewFlows.Store(true)
+	case now-s.closedSince > firstPacketTimeout:
+		s.hasLeft = leaving > leaveTimeout || !stack.hasOpenConnection()
 	}
 }
 
@@ -221,6 +233,7 @@
 	r := s.counters
 	r.Instance, r.Service, r.State = s.backend.config.Instance, s.backend.config.Service, s.state
 	r.Slots, r.Work, r.Open = s.worker.slots, s.worker.stats, len(s.conns)
+	r.LateFlows += s.backend.stack.link.droppedNewFlows.Load()
 	r.Accepted = append([]Accepted(nil), s.counters.Accepted...)
 	r.Executions = make(map[uint64]Execution, len(s.worker.executions))
 	for id, execution := range s.worker.executions {
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 
 	"gvisor.dev/gvisor/pkg/buffer"
 	"gvisor.dev/gvisor/pkg/tcpip"
@@ -12,6 +13,8 @@
 	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
 	"gvisor.dev/gvisor/pkg/tcpip/stack"
 	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"cassiawood/internal/packet"
 )
 
 const (
@@ -26,6 +29,9 @@
 type link struct {
 	*channel.Endpoint
 	send func(inner []byte)
+	// dropNewFlows makes inject drop the first packets of connections.
+	dropNewFlows    atomic.Bool
+	droppedNewFlows atomic.Uint64 // first packets dropped, retransmitted ones included
 }
 
 // WritePackets passes the stack's outgoing packets to the fabric. It must not
@@ -41,6 +47,13 @@
 
 // inject delivers a packet from the fabric to the stack.
 func (l *link) inject(inner []byte) {
+	if l.dropNewFlows.Load() {
+		var h packet.Headers
+		if packet.Parse(inner, &h) == nil && h.IsNewFlow() {
+			l.droppedNewFlows.Add(1)
+			return
+		}
+	}
 	p := stack.NewPacketBuffer(stack.PacketBufferOptions{Payload: buffer.MakeWithData(inner)})
 	l.InjectInbound(header.IPv4ProtocolNumber, p)
 	p.DecRef()
@@ -78,6 +91,22 @@
 	return &tcpStack{gvisor: s, link: l}, nil
 }
 
+// hasOpenConnection reports whether a connection is open or being opened, including those
+// that the stack holds and nobody has accepted.
+func (t *tcpStack) hasOpenConnection() bool {
+	for _, e := range t.gvisor.RegisteredEndpoints() {
+		endpoint, ok := e.(tcpip.Endpoint)
+		if !ok {
+			continue
+		}
+		switch tcp.EndpointState(endpoint.State()) {
+		case tcp.StateSynRecv, tcp.StateEstablished:
+			return true
+		}
+	}
+	return false
+}
+
 func fullAddress(a netip.AddrPort) tcpip.FullAddress {
 	return tcpip.FullAddress{NIC: nicID, Addr: tcpip.AddrFrom4(a.Addr().As4()), Port: a.Port()}
 }
