Reload the operators' tokens, so that a withdrawn one is refused

Cause (report of other operators: a withdrawn key was in use again): a control host read its tokens file at the start only. A token that was taken out of the file was accepted until each control host had been restarted.

LoadTokens moves from internal/control to internal/operator.

Ruled out by test: tokens of backend servers.

--- a/cmd/cassiawood-control/main.go
+++ b/cmd/cassiawood-control/main.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"cassiawood/internal/control"
+	"cassiawood/internal/operator"
 	"cassiawood/internal/process"
 	"cassiawood/internal/settings"
 )
@@ -26,7 +27,7 @@
 		TLS:  func(s settings.ControlHost) settings.TLS { return s.TLS },
 		Log:  func(s settings.ControlHost) settings.Log { return s.Log },
 		Check: func(s settings.ControlHost) error {
-			_, errTokens := control.LoadTokens(s.TokensFile)
+			_, errTokens := operator.LoadTokens(s.TokensFile)
 			_, errTLS := tls.LoadX509KeyPair(s.OperatorTLS.CertificateFile, s.OperatorTLS.KeyFile)
 			return errors.Join(errTokens, errTLS)
 		},
--- a/internal/control/module.go
+++ b/internal/control/module.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -118,12 +117,12 @@
 	if err != nil {
 		return fmt.Errorf("operatorTls: %w", err)
 	}
-	tokens, err := LoadTokens(s.TokensFile)
+	tokens, err := operator.OpenTokensFile(s.TokensFile, h.log)
 	if err != nil {
 		return err
 	}
 	server, err := operator.NewServer(operator.ServerOptions{
-		Address: s.OperatorAddress.String(), Certificate: certificate, Authenticator: operator.NewAuthenticator(tokens, time.Now),
+		Address: s.OperatorAddress.String(), Certificate: certificate, Authenticator: tokens.Authenticator(),
 		Backend: operatorBackend{applyInbox: h.applyInbox}, Log: h.log,
 	})
 	if err != nil {
@@ -132,32 +131,10 @@
 	for _, d := range server.Duties() {
 		h.group.Add(d)
 	}
+	h.group.Add(tokens.Duty())
 	return nil
 }
 
-// LoadTokens reads the tokens file that "cassiawood keys" writes. The error lists
-// every invalid token.
-func LoadTokens(file string) ([]operator.Token, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("tokensFile: %w", err)
-	}
-	var tokenSettings []operator.TokenSetting
-	if err := json.Unmarshal(text, &tokenSettings); err != nil {
-		return nil, fmt.Errorf("tokensFile %s: %w", file, err)
-	}
-	var tokens []operator.Token
-	var findings []error
-	for i, setting := range tokenSettings {
-		token, err := setting.Token()
-		if err != nil {
-			findings = append(findings, fmt.Errorf("tokensFile %s, token %d: %w", file, i+1, err))
-		}
-		tokens = append(tokens, token)
-	}
-	return tokens, errors.Join(findings...)
-}
-
 // openDataFolder opens the data folder and returns the log and the directory as of the
 // latest snapshot.
 func (h *Host) openDataFolder(clock func() time.Duration) (*changelog.Node, *directory.State, error) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -229,6 +229,39 @@
 			Expect(s.replies[id].Accepted).To(Equal(token == "secret"))
 		}
 	})
+
+	// Guards against a token that was replaced and is accepted again by a leader that has restarted
+	// from a snapshot, and against a backend server that stays in use with it.
+	It("refuse a replaced token, also after a restart", func() {
+		s := newSim(1, 1, 0)
+		setToken := func(id string, base uint64, token string) {
+			hash := sha256.Sum256([]byte(token))
+			s.apply(directory.ChangePrepared{ChangeID: id, Team: "t", Section: "Desk", BaseVersion: base, Services: []document.Service{
+				{Name: "desk", AnnouncedAs: "order-desk", Address: s.endpoint(0, 1).Address, Protocol: document.TCP, AnnounceTokenFingerprint: hash[:]},
+			}})
+			s.advance(time.Second)
+		}
+		announce := func(id uint64, n int, token string) bool {
+			s.send(member.Announced{ID: id, Endpoint: *s.endpoint(n, 1), Token: token, Lease: 3 * time.Second})
+			s.advance(time.Second)
+			return s.replies[id].Accepted
+		}
+		setToken("first", 1, "old")
+		Expect(announce(1, 1, "old")).To(BeTrue())
+		setToken("second", 2, "new")
+		Expect(announce(2, 1, "old")).To(BeFalse())
+
+		restored, err := directory.FromSnapshot(s.state.Snapshot())
+		Expect(err).NotTo(HaveOccurred())
+		s.state = restored
+		s.changeLeader()
+		Expect(announce(3, 2, "old")).To(BeFalse())
+		for id := range uint64(10) {
+			Expect(announce(10+id, 1, "old")).To(BeFalse())
+		}
+		Expect(s.stateOf("desk1")).To(Equal(directory.Removed))
+		Expect(announce(30, 2, "new")).To(BeTrue())
+	})
 })
 
 var _ = Describe("suspicion", func() {
--- a/internal/operator/authenticator.go
+++ b/internal/operator/authenticator.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"sync/atomic"
 	"time"
 )
 
@@ -57,18 +58,23 @@
 	return secret, sha256.Sum256([]byte(secret))
 }
 
-// Authenticator authenticates requests by their tokens.
+// Authenticator authenticates requests by their tokens. It is safe for concurrent use.
 type Authenticator struct {
-	tokens []Token
+	tokens atomic.Pointer[[]Token]
 	now    func() time.Time
 }
 
 // NewAuthenticator returns an Authenticator that accepts the given tokens. now
 // returns the current time.
 func NewAuthenticator(tokens []Token, now func() time.Time) *Authenticator {
-	return &Authenticator{tokens, now}
+	a := &Authenticator{now: now}
+	a.SetTokens(tokens)
+	return a
 }
 
+// SetTokens replaces the accepted tokens. Requests that are being handled keep the access that they have.
+func (a *Authenticator) SetTokens(tokens []Token) { a.tokens.Store(&tokens) }
+
 // Authenticate returns the token with the given secret. It compares every token in
 // constant time, so that response times reveal nothing about the hashes.
 func (a *Authenticator) Authenticate(secret string) (Token, error) {
@@ -76,15 +82,16 @@
 		return Token{}, &UnauthorisedError{"the request has no token"}
 	}
 	hash := sha256.Sum256([]byte(secret))
+	tokens := *a.tokens.Load()
 	found := -1
-	for i := range a.tokens {
-		same := subtle.ConstantTimeCompare(hash[:], a.tokens[i].Hash[:])
+	for i := range tokens {
+		same := subtle.ConstantTimeCompare(hash[:], tokens[i].Hash[:])
 		found = subtle.ConstantTimeSelect(same, i, found)
 	}
 	if found < 0 {
 		return Token{}, &UnauthorisedError{"the token is not known"}
 	}
-	token := a.tokens[found]
+	token := tokens[found]
 	if !token.Expires.IsZero() && !a.now().Before(token.Expires) {
 		lastDay := token.Expires.Add(-time.Nanosecond).UTC()
 		return Token{}, &UnauthorisedError{fmt.Sprintf("the token of team %q was valid until %s", token.Team, lastDay.Format(time.DateOnly))}
