Hold new flows after a pause until the present state has arrived

Change: an engine duty that sees no event for 1 s, though the clock ticks every 100 ms, takes that for a pause. It drops first packets and is not ready until a control host has sent its whole state over a connection opened after the pause, or for 0.5 s where none answers. Packets of open flows name their endpoint and are forwarded.

One test jumped by 2 s without a tick, which a running process cannot see; its time now passes in ticks, its checks are the same.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -38,6 +38,7 @@
 	unresponsive    []*endpoint // with a stalled flow since the last Tick
 	ending          []*endpoint // gone or replaced; their idle flows have not been reset yet
 	resets          []FlowReset // not yet taken by TakeResets
+	holdsNewFlows   bool        // set by HoldNewFlows
 }
 
 // route is a compiled route.
@@ -103,6 +104,10 @@
 	return changes
 }
 
+// HoldNewFlows makes the engine drop first packets, or ends that. Their callers repeat them. Packets of
+// open flows are still forwarded: they name their endpoint.
+func (e *Engine) HoldNewFlows(hold bool) { e.holdsNewFlows = hold }
+
 // EndpointCount returns the number of known endpoints that are not gone.
 func (e *Engine) EndpointCount() int {
 	count := 0
@@ -269,6 +274,9 @@
 		// When too few hosts are ready, the fabric also sends packets to hosts that are not.
 		return Decision{Verdict: Drop, Reason: NoState}
 	}
+	if e.holdsNewFlows && p.Flags&SYN != 0 {
+		return Decision{Verdict: Drop, Reason: OldState}
+	}
 	r := e.routes[p.Service]
 	if r == nil {
 		return refuse(p, NoRoute)
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -63,12 +63,13 @@
 	EndpointGone               // the endpoint of the flow has ended
 	Stalled                    // the endpoint acknowledges nothing, and the caller may repeat the request elsewhere
 	CallerReset                // a reset by the caller without an endpoint to forward it to
+	OldState                   // a first packet while the state may be older than a pause of this host
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "moved", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
-	"endpoint gone", "stalled", "caller reset",
+	"endpoint gone", "stalled", "caller reset", "old state",
 }
 
 // String returns the name of the reason in logs and counters.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -32,6 +32,9 @@
 	stateUpdated  struct{ update *wirepb.EdgeUpdate }
 	readyQuery    struct{ reply *ring.Ring[bool] }
 	stopping      struct{}
+	// followedAnew says that all later updates come from connections that were opened after the latest
+	// pauseEnded.
+	followedAnew struct{}
 	// idleQuery asks for the time since the last packet.
 	idleQuery struct{ reply *ring.Ring[time.Duration] }
 )
@@ -41,6 +44,7 @@
 func (stateUpdated) isEvent()  {}
 func (readyQuery) isEvent()    {}
 func (stopping) isEvent()      {}
+func (followedAnew) isEvent()  {}
 func (idleQuery) isEvent()     {}
 
 // engineDuty owns the affinity engine, which decides about each packet, and feeds it with routes
@@ -62,6 +66,7 @@
 	stopping          bool
 	loggedReady       bool // last logged readiness
 	lastPacket        time.Duration
+	pause             pauseGuard
 	ticks             int
 	flowLines         int // log lines about flows in this second
 	withheldFlowLines int // lines left out in this second
@@ -69,6 +74,7 @@
 
 func (d *engineDuty) handle(e event) error {
 	d.now = d.clock()
+	d.checkPause()
 	switch e := e.(type) {
 	case packetArrived:
 		d.handlePacket(e.datagram)
@@ -83,6 +89,8 @@
 	case stopping:
 		d.stopping = true
 		d.isReady()
+	case followedAnew:
+		d.pause.followedAnew()
 	}
 	return nil
 }
@@ -180,6 +188,7 @@
 	}
 	if u.GetLastPart() {
 		d.removeUnlisted()
+		d.pause.completed()
 	}
 	if list := u.GetDemand(); len(list) > 0 {
 		d.engine.SetDemand(d.now, wire.DemandFromProto(list))
@@ -258,11 +267,11 @@
 // has just started first waits for a state that a majority has confirmed.
 func (d *engineDuty) isReady() bool {
 	hasState := d.stateSince >= 0
-	ready := hasState && !d.stopping && (d.confirmed || d.now-d.stateSince >= unconfirmedStateWait)
+	ready := hasState && !d.stopping && !d.pause.holds && (d.confirmed || d.now-d.stateSince >= unconfirmedStateWait)
 	if ready != d.loggedReady {
 		d.loggedReady = ready
 		d.log.Info("readiness", "ready", ready, "hasState", hasState, "confirmed", d.confirmed, "stopping", d.stopping,
-			"version", d.engine.Version(), "endpoints", d.engine.EndpointCount())
+			"afterPause", d.pause.holds, "version", d.engine.Version(), "endpoints", d.engine.EndpointCount())
 	}
 	return ready
 }
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -49,6 +49,15 @@
 	}, 0)
 }
 
+// advance lets time pass with the ticks of a running process.
+func (h *engineHarness) advance(by time.Duration) {
+	GinkgoHelper()
+	for until := h.time + by; h.time < until; {
+		h.time = min(h.time+tickInterval, until)
+		Expect(h.handle(tick{})).To(Succeed())
+	}
+}
+
 func (h *engineHarness) receive(u *wirepb.EdgeUpdate) {
 	GinkgoHelper()
 	Expect(h.handle(stateUpdated{u})).To(Succeed())
@@ -72,7 +81,7 @@
 		Expect(h.ready()).To(BeFalse(), "there are no routes")
 		h.receive(&wirepb.EdgeUpdate{LastPart: true, Table: routes(5), Version: 5})
 		Expect(h.ready()).To(BeFalse(), "no majority has confirmed the routes")
-		h.time += unconfirmedStateWait
+		h.advance(unconfirmedStateWait)
 		Expect(h.ready()).To(BeTrue())
 		confirmed := newEngineHarness()
 		confirmed.receive(&wirepb.EdgeUpdate{Table: routes(5), Version: 5, Contact: true, Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -62,6 +62,9 @@
 	seedsChanged struct{ seeds []string }
 	// demandMeasured is the demand at this host, to be sent to the current control host.
 	demandMeasured struct{ demand []affinity.Demand }
+	// pauseEnded says that the process was paused. Updates that its connections still hold are older
+	// than the pause.
+	pauseEnded struct{}
 )
 
 func (followTick) isFollowEvent()      {}
@@ -69,6 +72,7 @@
 func (connectionEnded) isFollowEvent() {}
 func (seedsChanged) isFollowEvent()    {}
 func (demandMeasured) isFollowEvent()  {}
+func (pauseEnded) isFollowEvent()      {}
 
 // connection is the connection to one control host, with its own goroutine.
 type connection struct {
@@ -122,10 +126,26 @@
 		if d.current != nil {
 			d.current.outbox.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeDemand{EdgeDemand: wire.DemandToProto(e.demand)}})
 		}
+	case pauseEnded:
+		return d.followAnew()
 	}
 	return nil
 }
 
+// followAnew closes all connections and opens others, whose updates are newer than a pause of the process.
+func (d *followDuty) followAnew() error {
+	for _, c := range slices.Clone(d.connections) {
+		d.close(c)
+	}
+	clear(d.lastAttemptAt)
+	d.currentLostAt = d.now
+	if _, err := d.engineInbox.Put(followedAnew{}); err != nil {
+		return nil // the process stops
+	}
+	d.tick()
+	return nil
+}
+
 // tick opens more connections if the current control host is missing, incomplete, out of contact
 // or in another failure domain.
 func (d *followDuty) tick() {
