Contain panics over one packet, endpoint or message

Cause (report of other operators: one malformed message or unexpected error took a whole process down): a panic anywhere ended the process, with a text on standard error that is not in the log. The same packet or list of endpoints would have ended the other entry hosts as well, again and again.

Ruled out: fuzzing the decoders has found no such input; this is for the ones that nobody has found.

Change: duty.Contain turns a panic into an error with its stack. A packet whose decision panics is dropped, counted (inputs.failed) and logged, and the remembered flows, on which no flow depends, are forgotten. An endpoint whose update panics is left out, the others are used. A message between control hosts whose dispatch panics ends its stream. A panic in a duty is its failure and ends the process with a line in the log: state that is replicated must not go on half changed.

--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -167,6 +167,17 @@
 	f.endpoint.count(f, -1)
 }
 
+// ForgetFlows forgets all flows, with the load and the health that follow from them. Later packets still go by
+// their tokens.
+func (e *Engine) ForgetFlows() {
+	clear(e.flows)
+	e.lists = [phaseCount]flowList{}
+	e.unresponsive, e.resets = nil, nil
+	for _, ep := range e.byID {
+		ep.openFlows, ep.working, ep.health = 0, 0, passiveHealth{}
+	}
+}
+
 // removeOldestFlow removes the oldest pending flow, or the oldest of another phase if none is pending.
 func (e *Engine) removeOldestFlow() {
 	for _, p := range [...]phase{pending, idle, working} {
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -211,10 +212,11 @@
 	for {
 		envelope, err := stream.Receive()
 		if err == nil {
-			err = s.dispatch(envelope, out, stream, &subscribed)
+			// An odd message ends its stream only.
+			err = duty.Contain(func() error { return s.dispatch(envelope, out, stream, &subscribed) })
 		}
 		if err != nil {
-			s.log.Debug("stream ended", "reason", err)
+			s.logEnd(err)
 			if subscribed {
 				_, _ = s.stateInbox.Put(unsubscribe{out: out}) // fails only while the process stops
 			}
@@ -223,6 +225,16 @@
 	}
 }
 
+// logEnd logs why a stream has ended. Streams end all the time, but a panic is a fault of this program.
+func (s *linkServer) logEnd(err error) {
+	level := slog.LevelDebug
+	var panicked *duty.PanicError
+	if errors.As(err, &panicked) {
+		level = slog.LevelError
+	}
+	s.log.Log(context.Background(), level, "stream ended", "reason", err)
+}
+
 func (s *linkServer) dispatch(e *wirepb.Envelope, out *ring.Ring[[]byte], stream *wire.Stream, subscribed *bool) error {
 	var err error
 	switch body := e.GetBody().(type) {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -159,7 +159,7 @@
 func (g *Group) run(ctx context.Context, d Duty, p *Progress) {
 	defer g.running.Done()
 	g.logger.Debug("duty started", "duty", d.Name)
-	err := d.Run(ctx, p)
+	err := Contain(func() error { return d.Run(ctx, p) })
 	if g.stopping.Load() || ctx.Err() != nil {
 		return
 	}
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cassiawood/internal/affinity"
+	"cassiawood/internal/duty"
 	"cassiawood/internal/registry"
 	"cassiawood/internal/ring"
 	"cassiawood/internal/wire"
@@ -17,6 +18,8 @@
 	unconfirmedStateWait = 2 * time.Second
 	// maxFlowLinesPerSecond is the maximum rate of log lines about individual flows.
 	maxFlowLinesPerSecond = 50
+	// maxFailureLinesPerSecond is the maximum rate of log lines about contained panics, which hold a stack.
+	maxFailureLinesPerSecond = 2
 	// maxResetsPerTick leaves most of the ring of outgoing packets to forwarded packets.
 	maxResetsPerTick = datagramCount / 4
 	// ticksPerSecond is the number of ticks between updates of the metrics and the demand.
@@ -70,6 +73,7 @@
 	ticks             int
 	flowLines         int // log lines about flows in this second
 	withheldFlowLines int // lines left out in this second
+	failureLines      int // contained panics in this second
 }
 
 func (d *engineDuty) handle(e event) error {
@@ -97,7 +101,11 @@
 
 func (d *engineDuty) handlePacket(g *datagram) {
 	d.lastPacket = d.now
-	decision := d.engine.Decide(d.now, g.packet)
+	decision, err := d.decide(g.packet)
+	if err != nil {
+		d.freeDatagrams.Offer(g)
+		return
+	}
 	d.metrics.decisions[decision.Reason].Inc(1)
 	d.logFlow(g.packet, decision)
 	g.verdict = decision.Verdict
@@ -113,6 +121,28 @@
 	}
 }
 
+// decide returns the engine's decision about a packet. A panic drops the packet, not the process: callers
+// could end all entry hosts otherwise. The flows are forgotten, as they may be half changed.
+func (d *engineDuty) decide(p affinity.Packet) (decision affinity.Decision, err error) {
+	err = duty.Contain(func() error {
+		decision = d.engine.Decide(d.now, p)
+		return nil
+	})
+	if err != nil {
+		d.metrics.failed.Inc(1)
+		d.engine.ForgetFlows()
+		d.logFailure("packet dropped", err, "flow", p.Caller, "route", p.Service, "flags", p.Flags)
+	}
+	return decision, err
+}
+
+// logFailure logs a panic that was contained, at most maxFailureLinesPerSecond times a second.
+func (d *engineDuty) logFailure(message string, err error, attributes ...any) {
+	if d.failureLines++; d.failureLines <= maxFailureLinesPerSecond {
+		d.log.Error(message, append(attributes, "reason", err)...)
+	}
+}
+
 // logFlow logs a flow that begins, moves, stalls or ends here, at most maxFlowLinesPerSecond times a
 // second. Of the packets routed by token, only the first repetition is logged.
 func (d *engineDuty) logFlow(p affinity.Packet, decision affinity.Decision) {
@@ -150,7 +180,7 @@
 	if d.withheldFlowLines > 0 {
 		d.log.Warn("lines about flows withheld", "count", d.withheldFlowLines)
 	}
-	d.flowLines, d.withheldFlowLines = 0, 0
+	d.flowLines, d.withheldFlowLines, d.failureLines = 0, 0, 0
 	d.followInbox.Offer(demandMeasured{demand: d.engine.LocalDemand()})
 	d.metrics.flows.Update(int64(d.engine.FlowCount()))
 	d.metrics.version.Update(int64(d.engine.Version()))
@@ -181,7 +211,11 @@
 	}
 	for _, report := range u.GetEndpoints() {
 		d.listedEndpoints[report.GetId()] = true
-		d.upsert(report)
+		// The others of the list are used, whatever one entry does.
+		if err := duty.Contain(func() error { d.upsert(report); return nil }); err != nil {
+			d.metrics.failed.Inc(1)
+			d.logFailure("endpoint left out", err, "endpoint", report.GetName(), "service", report.GetService())
+		}
 	}
 	for _, id := range u.GetForgotten() {
 		d.remove(id)
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -56,6 +56,7 @@
 type counters struct {
 	decisions []metrics.Counter // by reason
 	malformed metrics.Counter
+	failed    metrics.Counter // packets and endpoints whose handling panicked
 	unsent    metrics.Counter
 	flows     metrics.Gauge
 	version   metrics.Gauge
@@ -68,6 +69,7 @@
 func newCounters(r metrics.Registry) *counters {
 	c := &counters{
 		malformed:  metrics.NewRegisteredCounter("packets.malformed", r),
+		failed:     metrics.NewRegisteredCounter("inputs.failed", r),
 		unsent:     metrics.NewRegisteredCounter("packets.unsent", r),
 		flows:      metrics.NewRegisteredGauge("flows.remembered", r),
 		version:    metrics.NewRegisteredGauge("desired.version", r),
