Apply the stored entries at the start of a control host, not at its first tick

Entry hosts that follow it have no routes meanwhile.

Change: the log duty gets a tick when it starts.

--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -303,6 +303,8 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			h.group.Start()
+			// The clock's first tick comes later; until then the stored entries are not applied.
+			h.logInbox.Offer(replica.Tick{Now: h.clock()})
 			h.log.Info("control host started", "host", h.settings.Host, "domain", h.settings.Domain, "address", h.settings.Address,
 				"newSystem", h.settings.FirstStart, "seeds", fmt.Sprint(h.settings.Seeds))
 			return nil
