--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -16,8 +16,11 @@
 	// unconfirmedStateWait is how long a host waits after its start for a state that a majority
 	// confirms. It then serves with the unconfirmed one, since its failure domain may be cut off.
 	unconfirmedStateWait = 2 * time.Second
-	// maxFlowLinesPerSecond is the maximum rate of log lines about individual flows.
+	// maxFlowLinesPerSecond is the maximum rate of log lines about individual flows, and
+	// maxDropLinesPerSecond that of lines about packets that are dropped. They are apart, because drops
+	// come in floods, and the flows that are placed right after them must not be missing.
 	maxFlowLinesPerSecond = 50
+	maxDropLinesPerSecond = 20
 	// maxFailureLinesPerSecond is the maximum rate of log lines about contained panics, which hold a stack.
 	maxFailureLinesPerSecond = 2
 	// maxResetsPerTick leaves most of the ring of outgoing packets to forwarded packets.
@@ -71,7 +74,8 @@
 	lastPacket        time.Duration
 	pause             pauseGuard
 	ticks             int
-	flowLines         int // log lines about flows in this second
+	flowLines         int // log lines about flows in this second, but for drops
+	dropLines         int // log lines about dropped packets in this second
 	withheldFlowLines int // lines left out in this second
 	failureLines      int // contained panics in this second
 }
@@ -143,13 +147,13 @@
 	}
 }
 
-// logFlow logs a flow that begins, moves, stalls or ends here, at most maxFlowLinesPerSecond times a
-// second. Of the packets routed by token, only the first repetition is logged.
+// logFlow logs a flow that begins, moves, stalls or ends here, at most maxFlowLinesPerSecond and
+// maxDropLinesPerSecond times a second. Of the packets routed by token, only the first repetition is logged.
 func (d *engineDuty) logFlow(p affinity.Packet, decision affinity.Decision) {
 	if decision.Reason == affinity.ByToken && decision.DataRetransmits != 1 || decision.Reason == affinity.CallerReset {
 		return
 	}
-	if d.flowLines++; d.flowLines > maxFlowLinesPerSecond {
+	if !d.mayLogFlow(decision.Verdict) {
 		d.withheldFlowLines++
 		return
 	}
@@ -165,6 +169,16 @@
 	d.log.Info("flow", attributes...)
 }
 
+// mayLogFlow counts a line about a flow and reports whether it is within the limits of this second.
+func (d *engineDuty) mayLogFlow(v affinity.Verdict) bool {
+	if v == affinity.Drop {
+		d.dropLines++
+		return d.dropLines <= maxDropLinesPerSecond
+	}
+	d.flowLines++
+	return d.flowLines <= maxFlowLinesPerSecond
+}
+
 func (d *engineDuty) tick() {
 	d.engine.Tick(d.now)
 	for _, s := range d.engine.TakeSuspicions() {
@@ -180,7 +194,7 @@
 	if d.withheldFlowLines > 0 {
 		d.log.Warn("lines about flows withheld", "count", d.withheldFlowLines)
 	}
-	d.flowLines, d.withheldFlowLines, d.failureLines = 0, 0, 0
+	d.flowLines, d.dropLines, d.withheldFlowLines, d.failureLines = 0, 0, 0, 0
 	d.followInbox.Offer(demandMeasured{demand: d.engine.LocalDemand()})
 	d.metrics.flows.Update(int64(d.engine.FlowCount()))
 	d.metrics.version.Update(int64(d.engine.Version()))
