End a platform process at once when one of its duties has failed

Cause: the stop of entry and control hosts asks the engine or state duty whether work is left. Since a panic is a failure of its duty and no longer the end of the process, a stop after it waited for an answer of the duty that had failed, up to the stop limit, while the process took packets and requests.

Change: a group knows whether a duty has failed; the stop asks nothing then.

--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -315,7 +315,9 @@
 
 // stop ends the host after the requests that it has accepted.
 func (h *Host) stop(ctx context.Context) error {
-	h.drain()
+	if !h.group.HasFailed() {
+		h.drain()
+	}
 	h.group.BeginStop()
 	h.stopLinks()
 	h.stateInbox.Close()
--- a/internal/duty/contain_test.go
+++ b/internal/duty/contain_test.go
@@ -20,6 +20,7 @@
 		g.Add(duty.Duty{Name: "broken", Run: func(context.Context, *duty.Progress) error { panic("odd input") }})
 		g.Start()
 		reason := <-reasons
+		Expect(g.HasFailed()).To(BeTrue())
 		var panicked *duty.PanicError
 		Expect(errors.As(reason, &panicked)).To(BeTrue())
 		Expect(panicked.Value).To(Equal("odd input"))
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -94,6 +94,7 @@
 	cancel       context.CancelFunc
 	running      sync.WaitGroup
 	stopping     atomic.Bool
+	failed       atomic.Bool
 	failOnce     sync.Once
 }
 
@@ -128,6 +129,9 @@
 	g.cancel()
 }
 
+// HasFailed reports whether a duty has failed or hangs. A stop must not wait for answers of the duties then.
+func (g *Group) HasFailed() bool { return g.failed.Load() }
+
 // Stop cancels the duties and waits until they have returned or ctx ends. If ctx
 // ends first, the error names the duties that are still in a handler.
 func (g *Group) Stop(ctx context.Context) error {
@@ -217,6 +221,7 @@
 
 func (g *Group) fail(reason error) {
 	g.failOnce.Do(func() {
+		g.failed.Store(true)
 		g.logger.Error("duty failed", "reason", reason)
 		g.onFatal(reason)
 	})
--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -1,10 +1,15 @@
 package edge
 
 import (
+	"context"
+	"log/slog"
 	"net/netip"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
 
 	"cassiawood/internal/affinity"
 	"cassiawood/internal/registry"
@@ -12,6 +17,18 @@
 	"cassiawood/internal/wire/wirepb"
 )
 
+// noCodec is a codec for a fabric without packets.
+type noCodec struct{ PacketCodec }
+
+// shutdownFunc is called when the process is to end.
+type shutdownFunc func()
+
+// Shutdown implements fx.Shutdowner.
+func (f shutdownFunc) Shutdown(...fx.ShutdownOption) error {
+	f()
+	return nil
+}
+
 var _ = Describe("an unexpected error", func() {
 	caller, service, broken := netip.MustParseAddrPort("100.64.0.1:5000"), netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.9:443")
 	first := func(to netip.AddrPort) affinity.Packet {
@@ -36,6 +53,23 @@
 		Expect(h.verdictOn(later)).To(Equal(affinity.Forward))
 	})
 
+	// Guards against a process that lingers, takes packets and answers nothing, because its stop waits for
+	// the duty that has failed.
+	It("elsewhere in a duty ends the process without waiting for that duty", func() {
+		failed := make(chan struct{})
+		settings := Settings{
+			Host: "h", Domain: "a", PacketAddress: netip.MustParseAddrPort("127.0.0.1:0"), TelemetryAddress: netip.MustParseAddrPort("127.0.0.1:0"),
+			StopLimit: time.Hour,
+		}
+		h, err := newHost(settings, noCodec{}, slog.New(slog.DiscardHandler), metrics.NewRegistry(), shutdownFunc(func() { close(failed) }))
+		Expect(err).NotTo(HaveOccurred())
+		h.group.Start()
+		_, err = h.engineInbox.Put(packetArrived{}) // no datagram
+		Expect(err).NotTo(HaveOccurred())
+		<-failed
+		Expect(h.stop(context.Background())).To(Succeed())
+	})
+
 	// Guards against entry hosts that end again and again because of one entry among the endpoints.
 	It("in an endpoint of an update leaves that endpoint out", func() {
 		h := newEngineHarness()
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -181,7 +181,9 @@
 
 // stop ends the host after drain.
 func (h *Host) stop(ctx context.Context) error {
-	h.drain()
+	if !h.group.HasFailed() {
+		h.drain()
+	}
 	h.group.BeginStop()
 	h.stopFollowing()
 	h.engineInbox.Close()
