Tell endpoints to report to a control host of their own failure domain

An endpoint stays with the control host that has answered it, and goes on to another one when that fails. After a restart or a cut of control hosts a third to a half of the reports went to other domains. When a domain was cut off, its own control host heard these endpoints no more, and called them silent after 2.6 s, before they had tried the hosts that they could not reach. The callers of the domain were left to the few others, which refused some, and to other domains, which could not be reached.

Change: the answer to a report names the control host for the next ones: one of the endpoint's failure domain that has sent something within 1.2 s. An endpoint that comes back from it within 10 s stays. Control hosts send their sign of life without endpoints too, with their address.

--- a/internal/cluster/api.go
+++ b/internal/cluster/api.go
@@ -41,19 +41,21 @@
 
 // answer is the result of a request to the state duty.
 type answer struct {
-	desired routing.Desired
-	err     error
+	desired  routing.Desired
+	reportTo string // of a report: address of the control host for the next ones
+	err      error
 }
 
 // Report merges a report of a backend server. It returns after the report has been merged and
 // queued on the links to the other hosts. The state duty sets e.LastReportAt and e.ColdUntil.
-func (a API) Report(e registry.Endpoint, coldFor time.Duration) error {
+// It returns the address of the control host to which the server should send its next reports.
+func (a API) Report(e registry.Endpoint, coldFor time.Duration) (string, error) {
 	since := a.clock()
-	_, err := a.request(func(reply *ring.Ring[answer]) event {
+	result, err := a.request(func(reply *ring.Ring[answer]) event {
 		return endpointReported{endpoint: e, coldFor: coldFor, reply: reply}
 	})
 	a.metrics.reportLatency.Update((a.clock() - since).Microseconds())
-	return err
+	return result.reportTo, err
 }
 
 // PutDesired puts a validated desired state in force, unless one with the same or a
@@ -65,18 +67,19 @@
 
 // GetDesired returns the desired state in force, after a majority has confirmed that this host leads.
 func (a API) GetDesired() (routing.Desired, error) {
-	return a.request(func(reply *ring.Ring[answer]) event { return getDesired{reply: reply} })
+	result, err := a.request(func(reply *ring.Ring[answer]) event { return getDesired{reply: reply} })
+	return result.desired, err
 }
 
 // request sends a request to the state duty and waits for its answer.
-func (a API) request(newEvent func(*ring.Ring[answer]) event) (routing.Desired, error) {
+func (a API) request(newEvent func(*ring.Ring[answer]) event) (answer, error) {
 	reply := ring.New[answer]("answer", 1, ring.DropNewest)
 	if _, err := a.inbox.Put(newEvent(reply)); err != nil {
-		return routing.Desired{}, ErrUnavailable
+		return answer{}, ErrUnavailable
 	}
 	result, err := reply.Get()
 	if err != nil {
-		return routing.Desired{}, ErrUnavailable
+		return answer{}, ErrUnavailable
 	}
-	return result.desired, result.err
+	return result, result.err
 }
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -45,7 +45,7 @@
 		d.signsOfLife = append(d.signsOfLife, &wirepb.SignOfLife{Id: reported.ID, Seq: reported.Seq})
 	}
 	d.metrics.reports.Inc(1)
-	e.reply.Offer(answer{})
+	e.reply.Offer(answer{reportTo: d.reportAddress(reported)})
 }
 
 func (d *stateDuty) endpointChanged(e registry.Endpoint, source string) {
@@ -59,13 +59,14 @@
 	d.linksInbox.Offer(broadcast{envelope: &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{EndpointUpdate: u}}})
 }
 
-// broadcastSignsOfLife sends the other control hosts the endpoints that have reported to this one.
+// broadcastSignsOfLife sends the other control hosts the endpoints that have reported to this one. It is
+// this host's own sign of life as well, so it is sent without endpoints too.
 func (d *stateDuty) broadcastSignsOfLife() {
-	if len(d.signsOfLife) == 0 || d.now-d.signsOfLifeSentAt < signOfLifeInterval {
+	if d.now-d.signsOfLifeSentAt < signOfLifeInterval {
 		return
 	}
 	d.signsOfLifeSentAt = d.now
-	d.broadcast(&wirepb.EndpointUpdate{Alive: d.signsOfLife})
+	d.broadcast(&wirepb.EndpointUpdate{From: d.self.Address, Alive: d.signsOfLife})
 	d.signsOfLife = nil
 }
 
@@ -74,6 +75,9 @@
 	if u.GetFromId() != 0 {
 		d.memberDomains[u.GetFromId()] = u.GetFromDomain()
 	}
+	if u.GetFrom() != "" {
+		d.steering.heardAt[u.GetFrom()] = d.now
+	}
 	for _, report := range u.GetReports() {
 		e, err := wire.EndpointReportFromProto(report, d.now)
 		if err != nil {
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -67,11 +67,12 @@
 	signsOfLifeSentAt    time.Duration           // last broadcast of signsOfLife
 	peerDemand           map[string]demandReport // by address of the control host
 	demandSentAt         time.Duration           // last broadcast of the demand
-	registryChanged      bool                    // the registry has changed since it was saved
-	endpointLeft         bool                    // so has an endpoint's state, to draining or gone
-	registrySavedAt      time.Duration           // last save of the registry
-	isStopping           bool                    // new requests are refused
-	loggedContact        bool                    // last logged result of hasMajorityContact
+	steering             steering
+	registryChanged      bool          // the registry has changed since it was saved
+	endpointLeft         bool          // so has an endpoint's state, to draining or gone
+	registrySavedAt      time.Duration // last save of the registry
+	isStopping           bool          // new requests are refused
+	loggedContact        bool          // last logged result of hasMajorityContact
 }
 
 // pendingJoin is a request to join the membership.
@@ -142,6 +143,7 @@
 	d.changeMembership()
 	d.requestJoin()
 	d.broadcastSignsOfLife()
+	d.steering.expire(d.now)
 	d.broadcastDemand()
 	d.saveRegistry()
 	d.sendHeartbeats()
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -41,7 +41,7 @@
 		metrics: newCounters(metrics.NewRegistry()), routes: routing.NewState(),
 		registry:    registry.New(registry.Limits{SilentAfter: 2600 * time.Millisecond, ForgetAfter: time.Minute}),
 		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{},
-		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, status: changelog.Status{LastContact: -1},
+		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, steering: newSteering(), status: changelog.Status{LastContact: -1},
 	}
 	return h
 }
