Refuse log messages with a term that no number of elections reaches

Cause (report of other operators: one malformed message; found by reading): a member of the log takes the term of any message that is above its own. After one with the highest number the term of the next election is 0, which all members reject, after restarts too, since the term is stored.

--- a/internal/wire/log.go
+++ b/internal/wire/log.go
@@ -23,12 +23,19 @@
 	return p
 }
 
+// maxTerm bounds the terms that are taken from other members, far above any number of elections. The
+// term after the highest number would be 0, so a message with it would end all elections.
+const maxTerm = 1 << 62
+
 // LogMessageFromProto converts a log replication message from another control host.
 func LogMessageFromProto(p *wirepb.LogMessage) (changelog.Message, error) {
 	kind := changelog.Kind(p.GetKind())
 	if p.GetKind() == 0 || p.GetKind() > uint32(changelog.KindLearnerReply) {
 		return changelog.Message{}, fmt.Errorf("log message has unknown kind %d", p.GetKind())
 	}
+	if p.GetTerm() > maxTerm {
+		return changelog.Message{}, fmt.Errorf("log message has term %d, above %d", p.GetTerm(), uint64(maxTerm))
+	}
 	m := changelog.Message{
 		Kind: kind, From: p.GetFrom(), To: p.GetTo(), Term: p.GetTerm(), Index: p.GetLogIndex(), LogTerm: p.GetLogTerm(),
 		Commit: p.GetCommit(), Reject: p.GetReject(), RejectHint: p.GetRejectHint(), Context: p.GetContext(),
--- a/internal/wire/log_test.go
+++ b/internal/wire/log_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -59,6 +60,44 @@
 	})
 }
 
+// TestHighestTerm guards against a message with the highest term, which would end all elections: the term
+// of the next one would be 0, below that of all members.
+func TestHighestTerm(t *testing.T) {
+	members := map[uint64]*changelog.Node{}
+	for id := uint64(1); id <= 3; id++ {
+		n, err := changelog.New(changelog.Config{ID: id, Members: []uint64{1, 2, 3}, Seed: id}, changelog.HardState{}, changelog.Snapshot{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		members[id] = n
+	}
+	for _, kind := range []changelog.Kind{changelog.KindAppend, changelog.KindVote, changelog.KindVoteReply, changelog.KindSnapshot} {
+		p := wire.LogMessageToProto(changelog.Message{Kind: kind, From: 2, To: 1, Term: math.MaxUint64, Snapshot: &changelog.Snapshot{}})
+		if m, err := wire.LogMessageFromProto(p); err == nil {
+			members[1].Step(m)
+		}
+	}
+	for now := time.Hour; now < time.Hour+time.Minute; now += 50 * time.Millisecond {
+		var messages []changelog.Message
+		for _, n := range members {
+			n.Tick(now)
+			for n.HasReady() {
+				messages = append(messages, n.Ready().Messages...)
+				n.Advance()
+			}
+		}
+		for _, m := range messages {
+			members[m.To].Step(m)
+		}
+	}
+	for _, n := range members {
+		if n.Status().Role == changelog.Leader {
+			return
+		}
+	}
+	t.Fatalf("no leader after a minute, term %d", members[1].Status().Term)
+}
+
 // FuzzLogMessage guards against a received message that crashes the process, either in the
 // conversion or in the member of the log that handles it.
 func FuzzLogMessage(f *testing.F) {
