Count a stop signal once

When the latter was seen first, the signal was still in the channel and counted as a second one, which ends the process without its graceful stop: records are not handed over, requests just accepted are cut off. The log of the failure has "second signal received" a millisecond after the stop began, and no "signal received".

Change: a stop that begins by app.Wait first takes that signal out of the channel. signal.Stop guarantees that it has arrived there.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -177,15 +177,31 @@
 		return ExitFailed
 	}
 	exitCode := ExitDone
+	logSignal := func(s os.Signal) { log.Info("signal received, stopping", "signal", s.String(), "limit", limit) }
 	select {
 	case s := <-signals:
-		log.Info("signal received, stopping", "signal", s.String(), "limit", limit)
+		logSignal(s)
 	case s := <-app.Wait():
-		exitCode = s.ExitCode
+		if exitCode = s.ExitCode; exitCode == ExitDone {
+			takeRelayedSignal(signals, logSignal)
+		}
 	}
 	return stop(log, app, limit, exitCode, signals, describeLoss)
 }
 
+// takeRelayedSignal takes the signal that fx has passed on to Wait out of signals, if it was one: left there it
+// would count as a second signal and cut the graceful stop off. fx handles signals until the application has
+// stopped, so none ends the process meanwhile.
+func takeRelayedSignal(signals chan os.Signal, received func(os.Signal)) {
+	signal.Stop(signals) // waits until signals that have arrived are in the channel
+	select {
+	case s := <-signals:
+		received(s)
+	default: // the application has ended itself
+	}
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+}
+
 // stop stops the application and returns the exit code.
 func stop(log *slog.Logger, app *fx.App, limit time.Duration, exitCode int, signals <-chan os.Signal,
 	describeLoss func() string,
