--- /dev/null
+++ b/review/standins/process.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The commands of the roles in deploy/system.toml.
+const (
+	entryCommand   = "target/cassiawood-platform-entry"
+	controlCommand = "target/cassiawood-platform-control"
+)
+
+// The bounds of a small deployment, as the settings file gives them.
+const (
+	heartbeatInterval = 1200 * time.Millisecond
+	drainTime         = 3000 * time.Millisecond  // drainMs
+	stableWindow      = 4000 * time.Millisecond  // stableWindowMs
+	catchUp           = 4 * time.Second          // catchUpS
+	recoveryTime      = 12 * time.Second         // recoveryS
+	graceTime         = 6 * time.Second          // graceS
+	idleTimeout       = 15000 * time.Millisecond // idleTimeoutMs of the desired state
+	flowMax           = 60 * time.Second         // flowMaxS
+)
+
+// program is one program of the system on its machine.
+type program struct {
+	name, command, folder string
+	zone, class           string
+	ip                    netip.Addr
+	control               string // address of its control API; empty on an entry host
+	site                  *site
+
+	mu      sync.Mutex
+	running *exec.Cmd
+	exited  chan struct{}
+	starts  int
+}
+
+// start writes the settings file and starts the program.
+func (p *program) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := filepath.Join(p.folder, p.name+".toml")
+	if err := os.WriteFile(path, []byte(p.settings()), 0o600); err != nil {
+		return err
+	}
+	p.starts++
+	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	c := exec.Command(p.command)
+	c.Env = append(os.Environ(), "CASSIAWOOD_SETTINGS="+path)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	p.running, p.exited = c, make(chan struct{})
+	go func(exited chan struct{}) {
+		_ = c.Wait() // the state of the process has the exit code
+		_ = log.Close()
+		close(exited)
+	}(p.exited)
+	p.site.record.line("%s started", p.name)
+	return nil
+}
+
+func (p *program) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running != nil {
+		_ = p.running.Process.Signal(s) // fails only if the process has ended
+	}
+}
+
+// end sends a signal and waits until the process has ended; after graceTime it kills the process.
+func (p *program) end(s syscall.Signal) {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return
+	}
+	p.site.record.line("%s gets the signal %v", p.name, s)
+	p.signal(s)
+	select {
+	case <-exited:
+	case <-time.After(graceTime):
+		p.signal(syscall.SIGKILL)
+		<-exited
+	}
+	p.site.record.line("%s has ended", p.name)
+}
+
+func (p *program) dataFolder() string { return filepath.Join(p.folder, p.name+".data") }
+
+// settings returns the settings file in the format of the platform.
+func (p *program) settings() string {
+	var seeds []string
+	for _, seed := range p.site.controlHosts() {
+		seeds = append(seeds, fmt.Sprintf("%q", seed))
+	}
+	serves, listen, data := "control_plane", fmt.Sprintf("control = %q", p.control), fmt.Sprintf("dataDir = %q\n", p.dataFolder())
+	if p.control == "" {
+		serves, data = "frontend", ""
+		listen = fmt.Sprintf("datagramAddr = \"%s:%d\"\nreadinessAddr = \"%s:%d\"", p.ip, p.site.ports.packets, p.ip, p.site.ports.ready)
+	}
+	return fmt.Sprintf(`node = %q
+role = %q
+machineClass = %q
+serves = [%q]
+ip = "%s"
+zone = %q
+region = "fi-south"
+internalPortRange = [%d,%d]
+seeds = [%s]
+firstStart = %t
+countsAsLoss = %t
+%sdiscovery = "registration"
+entry = "announce"
+heartbeatIntervalMs = %d
+contracts = ["base","drain","config","cost","recover","flows"]
+config_mode = "highest"
+hash = "mod"
+proxyMode = "echo"
+[zones]
+fs-a = "fi-south"
+fs-b = "fi-south"
+fs-c = "fi-south"
+[listen]
+%s
+[limits]
+cpuShare = 0.48
+cores = 1
+memoryMb = 280
+maxFds = 4096
+linkMbps = 1000.0
+diskMb = 128
+[faultTolerance]
+machines = 1
+zones = 1
+regions = 0
+[bounds]
+seedLagS = 3
+reuseAfterS = 2
+stableWindowMs = %d
+ackMs = 5000
+catchUpS = %d
+drainMs = %d
+graceS = %d
+lossSlackMs = 200
+configPropagationMs = 3000
+downgradeSlackMs = 250
+stretchMaxMs = 12000
+recoveryS = %d
+reorderMs = 2000
+flowMaxS = %d
+`, p.name, serves, p.class, serves, p.ip, p.zone, p.site.ports.links, p.site.ports.links+15, strings.Join(seeds, ","),
+		p.starts == 0 && p.site.isNew, p.class == "core", data, heartbeatInterval.Milliseconds(), listen,
+		stableWindow.Milliseconds(), int(catchUp.Seconds()), drainTime.Milliseconds(), int(graceTime.Seconds()),
+		int(recoveryTime.Seconds()), int(flowMax.Seconds()))
+}
