--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Needs the build of the deploy file and review/build.sh. TROUBLE=0 runs without the disruption.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/standins -case missed-drain -record review/4/record.txt
+exec target/review/standins -case late-removal -record review/4/record.txt
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Needs the build of the deploy file and review/build.sh. TROUBLE=0 runs without the disruption.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/standins -case missed-drain -record review/5/record.txt
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,10 +26,11 @@
 
 // cases holds the function of each case. It returns an error if the case could not run.
 var cases = map[string]func(*site) error{
-	"replaced-voter": runReplacedVoter,
-	"odd-report":     runOddReport,
-	"late-removal":   runLateRemoval,
-	"missed-drain":   runMissedDrain,
+	"replaced-voter":    runReplacedVoter,
+	"killed-compaction": runKilledCompaction,
+	"odd-report":        runOddReport,
+	"late-removal":      runLateRemoval,
+	"missed-drain":      runMissedDrain,
 }
 
 func main() { os.Exit(run()) }
