--- a/review/standins/case_missed_drain.go
+++ b/review/standins/case_missed_drain.go
@@ -1,99 +1,161 @@
 package main
 
 import (
+	"errors"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// darkTime is how long the control host is without power.
-	darkTime = 600 * time.Millisecond
+	// darkTime is how long the control host is without power, on top of the time that powerOff takes.
+	darkTime = 300 * time.Millisecond
 	// drainAfter is the time from the loss of power until the endpoint begins to drain.
-	drainAfter = 150 * time.Millisecond
+	drainAfter = 50 * time.Millisecond
 	// drainLength is how long the endpoint goes on serving.
-	drainLength = 14 * time.Second
+	drainLength = 13 * time.Second
 	// slack allows for the time that the stand-ins take.
 	slack = 200 * time.Millisecond
+	// maxPowerLosses bounds the losses of power. The next one comes only if the rule has held so far.
+	maxPowerLosses = 3
 )
 
-// drainJudge judges the rule DRAIN for one endpoint.
+// drainJudge judges the rule DRAIN for one endpoint at a time.
 type drainJudge struct {
-	site     *site
-	endpoint *endpoint
+	site *site
 
 	mu       sync.Mutex
-	stableAt time.Time // from when on all machines are in touch
+	endpoint *endpoint // the one that leaves
+	stableAt time.Time // from when on all machines are in touch; zero before that is known
 	ackedAt  time.Time // first acknowledgement by a machine in touch that the endpoint drains
 	host     string
+	broken   bool
 }
 
-func (j *drainJudge) acknowledged(host string) {
+// prepare makes an incarnation tell the judge what it sees.
+func (j *drainJudge) prepare(i *incarnation) {
+	i.drainAck = func(host string) { j.acknowledged(i.endpoint, host) }
+	i.onOpen = func(p *packet) { j.opened(i.endpoint, p) }
+}
+
+func (j *drainJudge) begin(e *endpoint) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.endpoint, j.stableAt, j.ackedAt = e, time.Time{}, time.Time{}
+}
+
+func (j *drainJudge) setStableAt(at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if now := time.Now(); j.ackedAt.IsZero() && !j.stableAt.IsZero() && now.After(j.stableAt) {
+	j.stableAt = at
+}
+
+func (j *drainJudge) isBroken() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.broken
+}
+
+func (j *drainJudge) acknowledged(e *endpoint, host string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if now := time.Now(); e == j.endpoint && j.ackedAt.IsZero() && !j.stableAt.IsZero() && now.After(j.stableAt) {
 		j.ackedAt, j.host = now, host
-		j.site.record.line("%s, in touch, has acknowledged that %s drains", host, j.endpoint.name)
+		j.site.record.line("%s, in touch, has acknowledged that %s drains", host, e.name)
 	}
 }
 
 // opened judges an opening packet that an endpoint took.
-func (j *drainJudge) opened(by *endpoint, p *packet) {
-	if by != j.endpoint {
-		return
-	}
+func (j *drainJudge) opened(e *endpoint, p *packet) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	zone := "?"
-	for _, c := range j.site.clients {
-		if c.ip == p.from.Addr() {
-			zone = c.zone
-		}
-	}
 	since := time.Since(j.ackedAt)
-	if j.ackedAt.IsZero() || since <= drainTime+slack {
+	if e != j.endpoint || j.ackedAt.IsZero() || since <= drainTime+slack {
 		return
 	}
+	j.broken = true
 	j.site.record.breakRule("DRAIN", "%s got the opening packet of %s in %s %.1f s after %s, in touch, had acknowledged that it drains",
-		j.endpoint.name, p.from, zone, since.Seconds(), j.host)
+		e.name, p.from, j.site.zoneOfClient(p.from.Addr()), since.Seconds(), j.host)
+}
+
+func (s *site) zoneOfClient(ip netip.Addr) string {
+	for _, c := range s.clients {
+		if c.ip == ip {
+			return c.zone
+		}
+	}
+	return "no zone"
 }
 
 // runMissedDrain lets the control host that leads lose power for less than a second. Meanwhile an endpoint of another
-// zone begins to drain; it goes on serving for many seconds.
+// zone begins to drain; it goes on serving for many seconds. The clients of each zone use a service whose
+// endpoints are in the other zones.
 func runMissedDrain(s *site) error {
 	network, err := s.startLinkProxies()
 	if err != nil {
 		return err
 	}
-	if err := s.start(siteLayout{entriesPerZone: 2, desk: zones, linkProxies: true}); err != nil {
-		return err
+	s.routes = nil
+	for i, zone := range zones {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 8443)
+		s.routes = append(s.routes, route{"r-" + zone, "unsafe", serviceSheet + "-" + zone, address})
 	}
-	host := slices.Index(s.controlHosts(), s.operator.lastHost)
-	zone := zones[host]
-	others := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == zone })
 	judge := &drainJudge{site: s}
-	for _, z := range slices.Concat(others, others) {
-		e, err := s.newEndpoint(serviceSheet, z)
-		if err != nil {
+	if err := s.start(siteLayout{entriesPerZone: 2, linkProxies: true, started: func() error { return s.startSheetEndpoints(judge) }}); err != nil {
+		return err
+	}
+	time.Sleep(heartbeatInterval)
+	pause := func() time.Duration { return 200 * time.Millisecond }
+	for i, zone := range zones {
+		if err := s.startClients(zone, clientLoad{count: 10, route: s.routes[i], oneShot: true, pause: pause, flowAge: time.Minute}); err != nil {
 			return err
 		}
-		judge.endpoint = e // the last one leaves
-		e.prepare = func(i *incarnation) {
-			i.drainAck, i.onOpen = judge.acknowledged, func(p *packet) { judge.opened(e, p) }
+	}
+	for version := 2; version < 2+maxPowerLosses && !judge.isBroken(); version++ {
+		time.Sleep(2*stableWindow + time.Second)
+		if err := s.operator.putUntilAcknowledged(version, 5*time.Second); err != nil {
+			return err
 		}
-		if err := e.start(); err != nil {
+		if err := s.drainDuringPowerLoss(network, judge, slices.Index(s.controlHosts(), s.operator.lastHost)); err != nil {
 			return err
 		}
 	}
-	time.Sleep(heartbeatInterval)
-	pause := func() time.Duration { return 200 * time.Millisecond }
-	for _, z := range zones {
-		if err := s.startClients(z, clientLoad{count: 10, route: s.routes[1], oneShot: true, pause: pause, flowAge: time.Minute}); err != nil {
-			return err
+	return nil
+}
+
+// startSheetEndpoints starts two endpoints in each zone for the service of each other zone.
+func (s *site) startSheetEndpoints(judge *drainJudge) error {
+	for i, r := range s.routes {
+		for _, zone := range slices.Concat(zones, zones) {
+			if zone == zones[i] {
+				continue
+			}
+			e, err := s.newEndpoint(r.service, zone)
+			if err != nil {
+				return err
+			}
+			e.prepare = judge.prepare
+			if err := e.start(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// drainDuringPowerLoss lets the control host lose power and an endpoint drain that serves the host's zone.
+func (s *site) drainDuringPowerLoss(network *linkProxies, judge *drainJudge, host int) error {
+	var leaving *incarnation
+	for _, e := range s.endpoints {
+		if i := e.running(); i != nil && e.service == s.routes[host].service {
+			leaving = i
 		}
 	}
-	time.Sleep(2*stableWindow + time.Second)
-	leaving := judge.endpoint.running()
+	if leaving == nil {
+		return errors.New("no endpoint is left")
+	}
+	judge.begin(leaving.endpoint)
 	if s.trouble {
 		network.powerOff(host)
 		time.AfterFunc(drainAfter, leaving.drain)
@@ -104,9 +166,7 @@
 	} else {
 		leaving.drain()
 	}
-	judge.mu.Lock()
-	judge.stableAt = time.Now().Add(stableWindow + slack)
-	judge.mu.Unlock()
+	judge.setStableAt(time.Now().Add(stableWindow + slack))
 	time.Sleep(drainLength)
 	leaving.sendRemoval()
 	leaving.stop()
--- a/review/standins/operator.go
+++ b/review/standins/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -27,13 +28,17 @@
 // document returns the desired state with the version.
 func (o *operator) document(version int) []byte {
 	var routes, backends []map[string]any
+	var services []string
 	for _, r := range o.site.routes {
+		if !slices.Contains(services, r.service) {
+			services = append(services, r.service)
+		}
 		routes = append(routes, map[string]any{
 			"name": r.name, "host": r.address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", r.address.Port()), "type": r.kind,
 			"timeoutMs": 2000 + version, "targetLatencyMs": 200, "priority": 1, "backend": r.service, "maxAttempts": 2,
 		})
 	}
-	for _, name := range []string{serviceDesk, serviceSheet} {
+	for _, name := range services {
 		backends = append(backends, map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
 	}
 	text, err := json.Marshal(map[string]any{
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -65,8 +65,9 @@
 // siteLayout is the number of entry hosts in each zone, and where the endpoints of the services are.
 type siteLayout struct {
 	entriesPerZone int
-	desk, sheet    []string // a zone for each endpoint
-	linkProxies    bool     // links to control hosts pass a proxy
+	desk, sheet    []string     // a zone for each endpoint
+	linkProxies    bool         // links to control hosts pass a proxy
+	started        func() error // called after the programs have started; may be nil
 }
 
 func newSite(ctx context.Context, r *record, trouble bool) (*site, error) {
@@ -180,6 +181,11 @@
 			}
 		}
 	}
+	if l.started != nil {
+		if err := l.started(); err != nil {
+			return err
+		}
+	}
 	s.operator = newOperator(s)
 	if err := s.operator.putUntilAcknowledged(1, 15*time.Second); err != nil {
 		return err
