--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -54,13 +54,18 @@
 		return exitNotRun
 	}
 	r.line("case %s, trouble: %t", *name, s.trouble)
-	err = cases[*name](s)
-	interrupted := ctx.Err() != nil
+	ended := make(chan error, 1)
+	go func() { ended <- cases[*name](s) }()
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
 	cancel()
 	s.stop()
-	if err != nil || interrupted {
-		r.line("the case could not run: %v", errors.Join(err, context.Cause(ctx)))
-		fmt.Fprintln(os.Stderr, "the case could not run:", err, context.Cause(ctx))
+	if err != nil {
+		r.line("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
 		return exitNotRun
 	}
 	return r.result()
