--- a/review/standins/case_missed_drain.go
+++ b/review/standins/case_missed_drain.go
@@ -131,7 +131,7 @@
 			if zone == zones[i] {
 				continue
 			}
-			e, err := s.newEndpoint(r.service, zone)
+			e, err := s.newEndpoint(r.Service, zone)
 			if err != nil {
 				return err
 			}
@@ -148,7 +148,7 @@
 func (s *site) drainDuringPowerLoss(network *linkProxies, judge *drainJudge, host int) error {
 	var leaving *incarnation
 	for _, e := range s.endpoints {
-		if i := e.running(); i != nil && e.service == s.routes[host].service {
+		if i := e.running(); i != nil && e.service == s.routes[host].Service {
 			leaving = i
 		}
 	}
--- a/review/standins/case_odd_report.go
+++ b/review/standins/case_odd_report.go
@@ -31,9 +31,9 @@
 
 // sendOddReport sends a report without the field version, under another id, at the address of the endpoint.
 func (s *site) sendOddReport(at *endpoint, host string) error {
-	body := fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"slots":2,"state":"ready","coldRemainingMs":0,"seq":1,"born":%d}`,
-		at.service, at.address, at.zone, time.Now().UnixMilli())
-	request, err := http.NewRequestWithContext(s.ctx, http.MethodPut, "http://"+host+"/cassiawood/instances/i-00000dd0", bytes.NewReader([]byte(body)))
+	report := reportBody{Service: at.service, Zone: at.zone, State: "ready", Address: at.address, Born: time.Now().UnixMilli(), Seq: 1}
+	url := fmt.Sprintf("http://%s/cassiawood/instances/i-00000dd0", host)
+	request, err := http.NewRequestWithContext(s.ctx, http.MethodPut, url, bytes.NewReader(report.encode()))
 	if err != nil {
 		return err
 	}
@@ -43,6 +43,6 @@
 		return err
 	}
 	_ = response.Body.Close()
-	s.record.line("another writer sends %s to %s, where %s runs: status %d", body, host, at.name, response.StatusCode)
+	s.record.line("another writer sends %s to %s, where %s runs: status %d", report.encode(), host, at.name, response.StatusCode)
 	return nil
 }
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -84,10 +84,10 @@
 	ended    bool
 }
 
-func (f *clientFlow) key() flowID { return flowID{f.from, f.route.address} }
+func (f *clientFlow) key() flowID { return flowID{f.from, f.route.Address} }
 
 func (f *clientFlow) send(flags byte, ack uint32, data []byte) {
-	p := packet{seq: f.seq, ack: ack, echo: f.echo, from: f.from, to: f.route.address, flags: flags, data: data}
+	p := packet{seq: f.seq, ack: ack, echo: f.echo, from: f.from, to: f.route.Address, flags: flags, data: data}
 	f.lastSent = time.Now()
 	// A packet that is not sent counts as lost.
 	_, _ = f.socket.WriteToUDPAddrPort(p.encode(), f.site.routers[f.zone].pick(p.from, p.to))
@@ -100,7 +100,7 @@
 	for {
 		select {
 		case p := <-f.packets:
-			if p.to == f.from && p.from == f.route.address {
+			if p.to == f.from && p.from == f.route.Address {
 				return p
 			}
 		case <-timer.C:
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -160,16 +160,12 @@
 		state = "draining"
 	}
 	cold := max(0, 2000-time.Now().UnixMilli()+i.born)
-	body, err := json.Marshal(map[string]any{
-		"backend": i.service, "address": i.address.String(), "zone": i.zone, "version": "v1", "slots": 2, "state": state,
-		"coldRemainingMs": cold, "seq": i.seq, "born": i.born,
-	})
-	i.mu.Unlock()
-	if err != nil {
-		return
+	report := reportBody{
+		Service: i.service, Zone: i.zone, Version: "v1", State: state, Address: i.address, ColdMs: cold, Born: i.born, Seq: i.seq,
 	}
+	i.mu.Unlock()
 	for range len(i.site.controlHosts()) + 1 {
-		if host := i.target(); i.call(http.MethodPut, host, body) {
+		if host := i.target(); i.call(http.MethodPut, host, report.encode()) {
 			if state == "draining" {
 				i.drainAck(host)
 			}
@@ -200,7 +196,7 @@
 
 // call sends a call to a control host and reports whether it was acknowledged.
 func (i *incarnation) call(method, host string, body []byte) bool {
-	request, err := http.NewRequestWithContext(i.ctx, method, "http://"+host+"/cassiawood/instances/"+i.name, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(i.ctx, method, fmt.Sprintf("http://%s/cassiawood/instances/%s", host, i.name), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -216,7 +212,7 @@
 	_ = response.Body.Close()
 	i.site.record.line("endpoint %s: %s at %s: status %d %s", i.name, method, host, response.StatusCode, strings.TrimSpace(string(text)))
 	var answer struct {
-		HeartbeatURL string `json:"heartbeatUrl"`
+		HeartbeatURL string // the decoder ignores the case of names
 	}
 	if err != nil || response.StatusCode/100 != 2 {
 		return false
--- a/review/standins/operator.go
+++ b/review/standins/operator.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 )
@@ -26,35 +25,12 @@
 }
 
 // document returns the desired state with the version.
-func (o *operator) document(version int) []byte {
-	var routes, backends []map[string]any
-	var services []string
-	for _, r := range o.site.routes {
-		if !slices.Contains(services, r.service) {
-			services = append(services, r.service)
-		}
-		routes = append(routes, map[string]any{
-			"name": r.name, "host": r.address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", r.address.Port()), "type": r.kind,
-			"timeoutMs": 2000 + version, "targetLatencyMs": 200, "priority": 1, "backend": r.service, "maxAttempts": 2,
-		})
-	}
-	for _, name := range services {
-		backends = append(backends, map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
-	}
-	text, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "backends": backends,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": idleTimeout.Milliseconds()},
-	})
-	if err != nil {
-		panic(err) // the document has only plain values
-	}
-	return text
-}
+func (o *operator) document(version int) []byte { return desiredBody(version, o.site.routes) }
 
 // call sends a request to one host, follows a 307 twice and returns the status, or 0 without an answer, the
 // body, and the host that answered.
 func (o *operator) call(method, host string, body []byte) (int, []byte, string) {
-	url := "http://" + host + "/cassiawood/config"
+	url := fmt.Sprintf("http://%s/cassiawood/config", host)
 	for range 3 {
 		request, err := http.NewRequestWithContext(o.site.ctx, method, url, bytes.NewReader(body))
 		if err != nil {
--- a/review/standins/process.go
+++ b/review/standins/process.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"fmt"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -56,7 +54,7 @@
 		return err
 	}
 	path := filepath.Join(p.folder, p.name+".toml")
-	if err := os.WriteFile(path, []byte(p.settings()), 0o600); err != nil {
+	if err := os.WriteFile(path, p.settings(), 0o600); err != nil {
 		return err
 	}
 	p.starts++
@@ -141,70 +139,17 @@
 func (p *program) diskSwitch() string { return p.dataFolder() + ".disk" }
 
 // settings returns the settings file in the format of the platform.
-func (p *program) settings() string {
-	var seeds []string
-	for _, seed := range p.site.controlHosts() {
-		seeds = append(seeds, fmt.Sprintf("%q", seed))
+func (p *program) settings() []byte {
+	isCore := p.control != ""
+	serves := "frontend"
+	if isCore {
+		serves = "control_plane"
 	}
-	serves, listen, data := "control_plane", fmt.Sprintf("control = %q", p.control), fmt.Sprintf("dataDir = %q\n", p.dataFolder())
-	if p.control == "" {
-		serves, data = "frontend", ""
-		listen = fmt.Sprintf("datagramAddr = \"%s:%d\"\nreadinessAddr = \"%s:%d\"", p.ip, p.site.ports.packets, p.ip, p.site.ports.ready)
-	}
-	return fmt.Sprintf(`node = %q
-role = %q
-machineClass = %q
-serves = [%q]
-ip = "%s"
-zone = %q
-region = "fi-south"
-internalPortRange = [%d,%d]
-seeds = [%s]
-firstStart = %t
-countsAsLoss = %t
-%sdiscovery = "registration"
-entry = "announce"
-heartbeatIntervalMs = %d
-contracts = ["base","drain","config","cost","recover","flows"]
-config_mode = "highest"
-hash = "mod"
-proxyMode = "echo"
-[zones]
-fs-a = "fi-south"
-fs-b = "fi-south"
-fs-c = "fi-south"
-[listen]
-%s
-[limits]
-cpuShare = 0.48
-cores = 1
-memoryMb = 280
-maxFds = 4096
-linkMbps = 1000.0
-diskMb = 128
-[faultTolerance]
-machines = 1
-zones = 1
-regions = 0
-[bounds]
-seedLagS = 3
-reuseAfterS = 2
-stableWindowMs = %d
-ackMs = 5000
-catchUpS = %d
-drainMs = %d
-graceS = %d
-lossSlackMs = 200
-configPropagationMs = 3000
-downgradeSlackMs = 250
-stretchMaxMs = 12000
-recoveryS = %d
-reorderMs = 2000
-flowMaxS = %d
-[cassiawood]
-diskFaults = %q
-`, p.name, serves, p.class, serves, p.ip, p.zone, p.site.ports.links, p.site.ports.links+15, strings.Join(seeds, ","),
-		p.starts == 0 && p.site.isNew, p.class == "core", data, heartbeatInterval.Milliseconds(), listen,
-		stableWindow.Milliseconds(), int(catchUp.Seconds()), drainTime.Milliseconds(), int(graceTime.Seconds()),
-		int(recoveryTime.Seconds()), int(flowMax.Seconds()), p.diskSwitch())
+	return body("settings.toml.tmpl", map[string]any{
+		"Node": p.name, "Serves": serves, "Class": p.class, "IsCore": isCore, "IP": p.ip, "Zone": p.zone, "Control": p.control,
+		"FirstPort": p.site.ports.links, "LastPort": p.site.ports.links + 15, "PacketPort": p.site.ports.packets, "ReadyPort": p.site.ports.ready,
+		"Seeds": p.site.controlHosts(), "FirstStart": p.starts == 0 && p.site.isNew, "DataFolder": p.dataFolder(), "DiskSwitch": p.diskSwitch(),
+		"HeartbeatMs": heartbeatInterval.Milliseconds(), "StableMs": stableWindow.Milliseconds(), "DrainMs": drainTime.Milliseconds(),
+		"CatchUpS": int(catchUp.Seconds()), "GraceS": int(graceTime.Seconds()), "RecoveryS": int(recoveryTime.Seconds()), "FlowMaxS": int(flowMax.Seconds()),
+	})
 }
--- a/review/standins/router.go
+++ b/review/standins/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"net/http"
 	"net/netip"
@@ -32,7 +33,7 @@
 	for ctx.Err() == nil {
 		for i, address := range r.ready {
 			go func() {
-				response, err := client.Get("http://" + address.String() + "/cassiawood/ready")
+				response, err := client.Get(fmt.Sprintf("http://%s/cassiawood/ready", address))
 				isReady := err == nil && response.StatusCode == http.StatusOK
 				if err == nil {
 					_ = response.Body.Close()
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -24,8 +24,8 @@
 )
 
 type route struct {
-	name, kind, service string
-	address             netip.AddrPort
+	Name, Kind, Service string
+	Address             netip.AddrPort
 }
 
 // The kind of a machine is the third byte of its address.
