--- a/review/standins/case_odd_report.go
+++ b/review/standins/case_odd_report.go
@@ -13,6 +13,7 @@
 	if err := s.start(siteLayout{entriesPerZone: 2, desk: []string{"fs-a", "fs-a", "fs-b", "fs-b", "fs-c", "fs-c"}, sheet: zones}); err != nil {
 		return err
 	}
+	time.Sleep(2 * heartbeatInterval) // until each endpoint has reported, also if its first report found no host
 	for _, zone := range zones {
 		pause := func() time.Duration { return 300 * time.Millisecond }
 		if err := s.startClients(zone, clientLoad{count: 8, route: s.routes[0], pause: pause, flowAge: 45 * time.Second}); err != nil {
