--- a/review/standins/case_missed_drain.go
+++ b/review/standins/case_missed_drain.go
@@ -98,8 +98,7 @@
 	}
 	s.routes = nil
 	for i, zone := range zones {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 8443)
-		s.routes = append(s.routes, route{"r-" + zone, "unsafe", serviceSheet + "-" + zone, address})
+		s.routes = append(s.routes, route{"r-" + zone, "unsafe", serviceSheet + "-" + zone, s.routeAddress(i)})
 	}
 	judge := &drainJudge{site: s}
 	if err := s.start(siteLayout{entriesPerZone: 2, linkProxies: true, started: func() error { return s.startSheetEndpoints(judge) }}); err != nil {
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -154,17 +154,17 @@
 // report sends a report to one control host after the other until one acknowledges it.
 func (i *incarnation) report() {
 	i.mu.Lock()
-	i.seq++
 	state := "ready"
 	if i.draining {
 		state = "draining"
 	}
 	cold := max(0, 2000-time.Now().UnixMilli()+i.born)
 	report := reportBody{
-		Service: i.service, Zone: i.zone, Version: "v1", State: state, Address: i.address, ColdMs: cold, Born: i.born, Seq: i.seq,
+		Service: i.service, Zone: i.zone, Version: "v1", State: state, Address: i.address, ColdMs: cold, Born: i.born,
 	}
 	i.mu.Unlock()
 	for range len(i.site.controlHosts()) + 1 {
+		report.Seq = i.nextSeq()
 		if host := i.target(); i.call(http.MethodPut, host, report.encode()) {
 			if state == "draining" {
 				i.drainAck(host)
@@ -175,6 +175,14 @@
 	}
 }
 
+// nextSeq returns the number of the next call.
+func (i *incarnation) nextSeq() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.seq++
+	return i.seq
+}
+
 // target returns the control host for the next call.
 func (i *incarnation) target() string {
 	i.mu.Lock()
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -35,6 +35,7 @@
 	entryKind
 	endpointKind
 	clientKind
+	routeKind // addresses of routes, which no packet is sent to
 )
 
 type sitePorts struct{ links, control, packets, ready, endpoints uint16 }
@@ -78,16 +79,13 @@
 	s := &site{
 		ctx: ctx, record: r, folder: folder, isNew: true, trouble: trouble, routers: map[string]*router{},
 		table: flowTable{flows: map[flowID]openFlow{}}, excuse: func(*incarnation, time.Time) string { return "" },
-		routes: []route{
-			{"r-names", "unsafe", serviceDesk, netip.MustParseAddrPort("198.18.0.1:8080")},
-			{"r-sheets", "unsafe", serviceSheet, netip.MustParseAddrPort("198.18.0.2:8443")},
-		},
 	}
 	for range 50 {
 		s.network = byte(100 + rand.IntN(150))
 		base := uint16(20000 + 40*rand.IntN(200))
 		s.ports = sitePorts{links: base, control: base + 20, packets: base + 21, ready: base + 22, endpoints: base + 23}
 		if s.portsAreFree() {
+			s.routes = []route{{"r-names", "unsafe", serviceDesk, s.routeAddress(0)}, {"r-sheets", "unsafe", serviceSheet, s.routeAddress(1)}}
 			return s, nil
 		}
 	}
@@ -125,6 +123,10 @@
 	return netip.AddrFrom4([4]byte{127, s.network, byte(kind), byte(number + 1)})
 }
 
+func (s *site) routeAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(s.ip(routeKind, number), 8443)
+}
+
 func (s *site) controlAddress(number int) string {
 	return netip.AddrPortFrom(s.ip(controlKind, number), s.ports.control).String()
 }
