Keep a member in contact when another identity asks to join at its address

A request to join that a control host hands on over a link that was cut arrives late. If the joining host has lost its disk once more meanwhile, the request is one of an earlier identity, and the leader removed the member that runs at that address, with its vote.

A member is now removed for another identity at its address only if it has not answered for maxContactAge (1 s). A host without its disk asks again every 0.5 s, so it waits for the rest of that second only.

The new spec of internal/voters was red before (a removal was proposed). The spec of the lost disk now says that the lost identity is silent, as it is.

--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -38,7 +38,7 @@
 // by 2f+2. With 2f voters only f-1 are, so the only voter that is removed first is one whose disk is
 // known to be lost: it can never answer again.
 func (p Policy) Next(v View) (changelog.Membership, string, bool) {
-	if next, reason, ok := join(v); ok {
+	if next, reason, ok := p.join(v); ok {
 		return next, reason, ok
 	}
 	voterCount := v.Members.VoterCount()
@@ -121,20 +121,22 @@
 	})
 }
 
-// join returns the membership with a host added that asks for it. A member with the same
-// address is the earlier identity of a host that has lost its disk, and is removed first.
-func join(v View) (changelog.Membership, string, bool) {
+// join returns the membership with a host added that asks for it. A silent member with the same address
+// is the earlier identity of a host that has lost its disk, and is removed first. A member in contact runs at the
+// address, so the request is one of an earlier identity that arrives late.
+func (p Policy) join(v View) (changelog.Membership, string, bool) {
 	for _, j := range v.Joining {
 		if _, ok := v.Members.Find(j.ID); ok {
 			continue
 		}
-		for _, m := range v.Members {
-			if m.Address == j.Address && m.ID != v.Self {
-				return v.Members.Without(m.ID), "a host came back without its disk", true
-			}
+		i := slices.IndexFunc(v.Members, func(m changelog.Member) bool { return m.Address == j.Address })
+		if i < 0 {
+			j.Voter = false
+			return v.Members.With(j), "a host joins", true
+		}
+		if m := v.Members[i]; m.ID != v.Self && v.SinceContact[m.ID] > p.MaxContactAge {
+			return v.Members.Without(m.ID), "a host came back without its disk", true
 		}
-		j.Voter = false
-		return v.Members.With(j), "a host joins", true
 	}
 	return nil, "", false
 }
--- a/internal/voters/voters_test.go
+++ b/internal/voters/voters_test.go
@@ -45,6 +45,7 @@
 	// with its disk.
 	It("removes the lost identity of a host, adds its new one as a standby and then makes it a voter", func() {
 		v := view(a, b, c)
+		v.SinceContact[3] = policy.MaxContactAge + time.Millisecond
 		rejoined := changelog.Member{ID: 9, Address: c.Address, Domain: "c", Voter: true}
 		v.Joining = []changelog.Member{rejoined}
 		next, _, ok := policy.Next(v)
@@ -62,6 +63,15 @@
 		Expect(next.VoterCount()).To(Equal(3))
 	})
 
+	// Guards against the removal of a running host by a request to join that another host has handed on late: it
+	// came from an identity that the host had before it lost its disk once more.
+	It("keeps a member in contact when another identity asks to join at its address", func() {
+		v := view(a, b, c)
+		v.Joining = []changelog.Member{{ID: 9, Address: c.Address, Domain: "c"}}
+		_, _, ok := policy.Next(v)
+		Expect(ok).To(BeFalse())
+	})
+
 	// Guards against a group that keeps a lost voter, so that one more loss stops it, and against a majority that
 	// ends with one lost disk while a voter that is only frozen is being replaced.
 	It("replaces a silent voter by a standby in contact, which gets its vote first", func() {
