Ask to join again when the leader is not heard

A standby that is cut off for more than a minute is removed from the membership. Back in touch it got nothing from the leader, took the last leader that it knew for its own, and did not ask to join until its process was restarted. The site then had one control host less to replace a lost one.

A host now asks every 0.5 s while it has not heard a leader for maxContactAge (1 s).

The new spec of internal/cluster was red before (no request in 3 s).

--- a/internal/cluster/leaving_test.go
+++ b/internal/cluster/leaving_test.go
@@ -127,3 +127,27 @@
 		Expect(h.reportAddress(e)).To(Equal(h.self.Address))
 	})
 })
+
+var _ = Describe("a standby that was removed", func() {
+	// Guards against a host that is cut off for more than a minute and never takes part again: no leader sends it
+	// anything any more, and it takes the last one that it knew for its leader.
+	It("asks to join when it has not heard the leader", func() {
+		h := newStateHarness()
+		members := changelog.Membership{{ID: 1, Address: "127.0.0.1:1"}, {ID: 2, Address: "127.0.0.1:2", Voter: true}}
+		h.handleEvent(statusChanged{changelog.Status{ID: 1, Leader: 2, Term: 1, LastContact: h.time, Members: members}})
+		joinRequests := func() int {
+			count := 0
+			for h.linksInbox.Depth() > 0 {
+				e, _ := h.linksInbox.Get()
+				if s, ok := e.(sendTo); ok && s.envelope.GetJoinRequest() != nil {
+					count++
+				}
+			}
+			return count
+		}
+		h.advance(maxContactAge)
+		Expect(joinRequests()).To(BeZero(), "the leader may still be there")
+		h.advance(2 * time.Second)
+		Expect(joinRequests()).To(BeNumerically(">=", 3))
+	})
+})
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -301,9 +301,11 @@
 	return nil
 }
 
-// requestJoin sends a join request to all known control hosts while this host has no leader.
+// requestJoin sends a join request to all known control hosts while this host hears no leader. A leader that has
+// removed this host sends it nothing, so a leader that is only known counts as none.
 func (d *stateDuty) requestJoin() {
-	if d.status.Leader != 0 || d.now < d.nextJoinAt {
+	hearsLeader := d.status.Leader != 0 && d.status.LastContact >= 0 && d.now-d.status.LastContact <= maxContactAge
+	if hearsLeader || d.now < d.nextJoinAt {
 		return
 	}
 	d.nextJoinAt = d.now + joinInterval
