Keep removal reports without an incarnation beside the state of an endpoint

Callers saw: an endpoint restarted under its ID while its machine was cut off.

Cause: a removal report names no incarnation and was applied to the known one. The host that took it kept a doubt and took the endpoint back after a later report; the other hosts got the result only, as the final state "gone" of the new incarnation.

Change: such a report changes no state. The record of the endpoint holds when it arrived, which is merged like the time of the latest report; both only grow within an incarnation. Each host derives from the two: no new flows at once; left when no report follows within the limit for silence; running when a report arrives more than 1 s after it. Idle flows of an endpoint that has left are reset after the same second as others; the 4 s before covered the doubt that the registry decides now. Signs of life carry the start time: one of an earlier incarnation raised the sequence number of the running one, and its own signs of life were ignored.

--- a/internal/affinity/ended.go
+++ b/internal/affinity/ended.go
@@ -5,24 +5,10 @@
 	"time"
 )
 
-// leaveGracePeriod is the time after the removal report of an endpoint after which its idle flows are
-// reset. It is longer than the time in which a newer report can show that the removal report was one of
-// an earlier incarnation that arrived late.
-const leaveGracePeriod = 4 * time.Second
-
 // unresponsiveFailures is the number of packets without an answer in between from which the idle flows of
 // an endpoint with a stalled flow are reset. Each comes from another flow.
 const unresponsiveFailures = 3
 
-// idleFlowsEnd reports whether the idle flows of the endpoint are reset: a newer incarnation uses its
-// address, or it has left for good.
-func (ep *endpoint) idleFlowsEnd(now time.Duration) bool {
-	if ep.replaced && ep.hasEnded(now) {
-		return true
-	}
-	return ep.Gone && ep.goneAt >= 0 && now-ep.goneAt >= leaveGracePeriod
-}
-
 // markEnding records when an endpoint was gone or replaced. Its idle flows are reset later.
 func (e *Engine) markEnding(now time.Duration, ep *endpoint) {
 	if ep.goneAt < 0 {
@@ -51,10 +37,10 @@
 	}
 	e.unresponsive = e.unresponsive[:0]
 	e.ending = slices.DeleteFunc(e.ending, func(ep *endpoint) bool {
-		if ep.idleFlowsEnd(now) {
+		if ep.hasEnded(now) {
 			ended[ep] = true
 		}
-		return ep.idleFlowsEnd(now) || ep.goneAt < 0
+		return ep.hasEnded(now) || ep.goneAt < 0
 	})
 	if len(ended) == 0 {
 		return
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -13,8 +13,8 @@
 	Domain string // failure domain of this host
 }
 
-// goneGracePeriod is how long packets are still forwarded to an endpoint after it has
-// reported that it is gone, because it may handle them before it exits.
+// goneGracePeriod is how long packets are still forwarded to an endpoint that is gone, because
+// it may handle them before it exits.
 const goneGracePeriod = time.Second
 
 // Engine decides what happens to each packet of a caller. It is not safe for
@@ -175,6 +175,8 @@
 	}
 	if ep.Gone {
 		e.markEnding(now, ep)
+	} else if !ep.replaced {
+		ep.goneAt = -1 // it has turned out to be running
 	}
 	ep.loadPerFlow = 1 / float64(max(ep.Slots, 1))
 	e.setDomainFactors(ep)
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -93,8 +93,8 @@
 	Address      netip.AddrPort
 	Domain       string
 	Slots        uint32
-	AcceptsFlows bool          // takes new flows: neither draining nor gone
-	Gone         bool          // has reported its end
+	AcceptsFlows bool          // takes new flows
+	Gone         bool          // has ended
 	Silent       bool          // has sent no report for some time
 	ColdUntil    time.Duration // end of its slow phase after the start, by the clock of this host
 }
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -42,7 +42,7 @@
 		d.endpointChanged(merged, "report")
 		d.broadcast(&wirepb.EndpointUpdate{Reports: []*wirepb.EndpointReport{wire.EndpointReportToProto(merged, d.now)}})
 	} else if reported.State != registry.Gone {
-		d.signsOfLife = append(d.signsOfLife, &wirepb.SignOfLife{Id: reported.ID, Seq: reported.Seq})
+		d.signsOfLife = append(d.signsOfLife, &wirepb.SignOfLife{Id: reported.ID, BornMs: reported.StartedAtMs, Seq: reported.Seq})
 	}
 	d.metrics.reports.Inc(1)
 	e.reply.Offer(answer{reportTo: d.reportAddress(reported)})
@@ -50,9 +50,9 @@
 
 func (d *stateDuty) endpointChanged(e registry.Endpoint, source string) {
 	d.registryChanged, d.unpublishedEndpoints[e.ID], d.lastFullState.frames = true, true, nil
-	d.endpointLeft = d.endpointLeft || e.State != registry.Ready
-	d.log.Info("endpoint changed", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "address", e.Address, "domain", e.Domain,
-		"born", e.StartedAtMs, "seq", e.Seq, "slots", e.Slots, "coldMs", max(0, e.ColdUntil-d.now).Milliseconds(), "source", source)
+	d.endpointLeft = d.endpointLeft || !e.AcceptsFlows()
+	d.log.Info("endpoint changed", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "removalReported", e.RemovalReported(),
+		"address", e.Address, "domain", e.Domain, "born", e.StartedAtMs, "seq", e.Seq, "slots", e.Slots, "coldMs", max(0, e.ColdUntil-d.now).Milliseconds(), "source", source)
 }
 
 func (d *stateDuty) broadcast(u *wirepb.EndpointUpdate) {
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, s := range u.GetAlive() {
-		if d.registry.RecordSignOfLife(s.GetId(), s.GetSeq(), d.now) {
+		if d.registry.RecordSignOfLife(s.GetId(), s.GetBornMs(), s.GetSeq(), d.now) {
 			e, _ := d.registry.Get(s.GetId())
 			d.endpointChanged(e, "sign of life")
 		}
@@ -137,8 +137,7 @@
 	d.registrySnapshots.Offer(data)
 }
 
-// loadRegistry merges a saved registry into r. It is unknown how long the process was down, so
-// endpoints that were not silent count as having reported now. Invalid entries, which an earlier
+// loadRegistry merges a saved registry into r. Invalid entries, which an earlier
 // build may have saved, are left out and joined to the error.
 func loadRegistry(r *registry.Registry, data []byte, now, silentAfter time.Duration) error {
 	r.Tick(now)
@@ -153,10 +152,7 @@
 			invalid = append(invalid, err)
 			continue
 		}
-		if e.LastReportAt = now; e.Silent {
-			e.LastReportAt = now - silentAfter
-		}
-		r.Merge(e)
+		r.Merge(e.AfterRestart(now, silentAfter))
 	}
 	return errors.Join(invalid...)
 }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -139,9 +139,13 @@
 }
 
 func (d *stateDuty) tick() {
-	silent, forgotten := d.registry.Tick(d.now)
-	for _, e := range silent {
-		d.log.Info("endpoint is silent", "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.LastReportAt).Milliseconds())
+	ended, forgotten := d.registry.Tick(d.now)
+	for _, e := range ended {
+		message := "endpoint is silent"
+		if e.HasLeft() {
+			message = "endpoint has left"
+		}
+		d.log.Info(message, "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.LastReportAt).Milliseconds())
 		d.registryChanged, d.unpublishedEndpoints[e.ID], d.lastFullState.frames = true, true, nil
 	}
 	d.publishEndpoints(forgotten)
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -278,8 +278,9 @@
 			// A control host that was cut off may have missed the newer state of the endpoint.
 			e.State = old.State
 		}
-		if e.State != old.State || e.Silent != old.Silent || e.StartedAtMs != old.StartedAtMs {
+		if e.State != old.State || e.Silent != old.Silent || e.StartedAtMs != old.StartedAtMs || e.RemovalReported() != old.RemovalReported() {
 			d.log.Info("endpoint changed", "endpoint", e.Name, "service", e.Service, "state", e.State.String(), "silent", e.Silent,
+				"removalReported", e.RemovalReported(), "left", e.HasLeft(),
 				"born", e.StartedAtMs, "seq", e.Seq, "ageMs", report.GetAgeMs())
 		}
 	} else if d.stateSince >= 0 {
@@ -289,7 +290,7 @@
 	d.endpoints[e.ID] = e
 	d.engine.Upsert(d.now, affinity.Endpoint{
 		ID: e.ID, Name: e.Name, StartedAtMs: e.StartedAtMs, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots,
-		AcceptsFlows: e.State == registry.Ready, Gone: e.State == registry.Gone, Silent: e.Silent, ColdUntil: e.ColdUntil,
+		AcceptsFlows: e.AcceptsFlows(), Gone: e.HasLeft(), Silent: e.Silent, ColdUntil: e.ColdUntil,
 	})
 }
 
@@ -305,7 +306,7 @@
 // silent. It keeps the others, which a control host that has just started may not know yet.
 func (d *engineDuty) removeUnlisted() {
 	for id, e := range d.endpoints {
-		if !d.listedEndpoints[id] && (e.State == registry.Gone || e.Silent) {
+		if !d.listedEndpoints[id] && (e.HasLeft() || e.Silent) {
 			d.remove(id)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,27 +40,66 @@
 }
 
 // Endpoint is one incarnation of a backend server.
+//
+// A removal report may name no incarnation, so it may have been sent by an earlier one and be late. It does not
+// change the state; the time at which it arrived is kept in RemovalReportedAt. The endpoint gets no new flows
+// from then on, and has left once it stays silent. A report that arrives more than removalOverrideDelay after the
+// removal report shows that the endpoint runs. The state and both times only grow within an incarnation, so copies
+// that have merged the same reports agree.
 type Endpoint struct {
-	ID               uint64 // numeric identity, as packets to the endpoint carry it
-	Name             string // identity as the endpoint reports it
-	StartedAtMs      int64  // start of the incarnation by the endpoint's clock, in milliseconds since the Unix epoch; 0 if not reported
-	Seq              uint64 // sequence number of the latest report
-	Service          string
-	Address          netip.AddrPort
-	Domain           string // failure domain
-	Slots            uint32
-	State            State
-	ColdUntil        time.Duration // end of its slow start, by the clock of this host
-	LastReportAt     time.Duration // time of the latest report, by the clock of this host
-	Silent           bool          // no report within the limit for silence
-	removalUncertain bool          // gone by a removal report that did not name the incarnation
-}
-
-// removalOverrideDelay is the time after a removal report without an incarnation from which a
-// newer report of the endpoint overrides it. Reports that were sent before the removal
-// report and overtaken by it arrive earlier, unless a network partition delayed them;
-// in that case the endpoint becomes silent again.
-const removalOverrideDelay = 2 * time.Second
+	ID                uint64 // numeric identity, as packets to the endpoint carry it
+	Name              string // identity as the endpoint reports it
+	StartedAtMs       int64  // start of the incarnation by the endpoint's clock, in milliseconds since the Unix epoch; 0 if not reported
+	Seq               uint64 // sequence number of the latest report
+	Service           string
+	Address           netip.AddrPort
+	Domain            string // failure domain
+	Slots             uint32
+	State             State
+	ColdUntil         time.Duration // end of its slow start, by the clock of this host
+	LastReportAt      time.Duration // time of the latest report, by the clock of this host
+	RemovalReportedAt time.Duration // time of the latest removal report without an incarnation, by the clock of this host; 0 if none
+	Silent            bool          // no report within the limit for silence
+	SilentRemoval     bool          // nor since a removal report without an incarnation
+}
+
+// removalOverrideDelay is the time after a removal report without an incarnation from which a report of the
+// endpoint shows that it runs. Reports that were sent before the removal report and overtaken by it
+// arrive earlier, unless a network partition delayed them; in that case the endpoint becomes silent again.
+const removalOverrideDelay = time.Second
+
+// RemovalReported reports whether a removal report without an incarnation has arrived and no later report
+// shows that the endpoint runs.
+func (e Endpoint) RemovalReported() bool {
+	return e.RemovalReportedAt != 0 && e.LastReportAt-e.RemovalReportedAt <= removalOverrideDelay
+}
+
+// AcceptsFlows reports whether the endpoint takes new flows.
+func (e Endpoint) AcceptsFlows() bool { return e.State == Ready && !e.RemovalReported() }
+
+// HasLeft reports whether the endpoint has ended, so that its flows cannot go on.
+func (e Endpoint) HasLeft() bool { return e.State == Gone || e.SilentRemoval && e.RemovalReported() }
+
+// isRemovalOnly reports whether the endpoint is known by a removal report without an incarnation only.
+func (e Endpoint) isRemovalOnly() bool { return e.State == Gone && e.StartedAtMs == 0 }
+
+// AfterRestart returns the endpoint as a host knows it that has read it from its disk at the time now. It is unknown
+// how long the host was down, so an endpoint that was not silent counts as having reported now.
+func (e Endpoint) AfterRestart(now, silentAfter time.Duration) Endpoint {
+	at := func(wasLongAgo bool) time.Duration {
+		if wasLongAgo {
+			return now - silentAfter
+		}
+		return now
+	}
+	if e.RemovalReported() {
+		e.RemovalReportedAt = at(e.SilentRemoval)
+	} else {
+		e.RemovalReportedAt = 0
+	}
+	e.LastReportAt = at(e.Silent || e.SilentRemoval)
+	return e
+}
 
 // Limits holds the time limits of a registry.
 type Limits struct {
@@ -109,90 +148,105 @@
 	known, ok := r.endpoints[e.ID]
 	switch {
 	case !ok:
-		e.Silent = r.isOutdated(e)
-		e.removalUncertain = e.State == Gone && e.StartedAtMs == 0
-		r.endpoints[e.ID] = &e
+		r.replace(e)
+		return true
+	case e.isRemovalOnly():
+		return known.recordRemoval(e.LastReportAt)
+	case known.isRemovalOnly():
+		// The report may be older than the removal report.
+		e.RemovalReportedAt = max(e.RemovalReportedAt, known.LastReportAt)
+		r.replace(e)
 		return true
-	case e.State == Gone && e.StartedAtMs == 0:
-		return known.markGone(e.LastReportAt)
 	case e.StartedAtMs < known.StartedAtMs:
 		return false
-	case e.StartedAtMs > known.StartedAtMs:
-		delayed := known.StartedAtMs == 0 && e.LastReportAt <= known.LastReportAt
-		if e.Silent = r.isOutdated(e); delayed {
-			// The report is older than a removal report that did not name the incarnation.
-			e.State, e.removalUncertain, e.LastReportAt = Gone, true, known.LastReportAt
-		}
-		r.endpoints[e.ID] = &e
+	case e.StartedAtMs > known.StartedAtMs, known.isFollowedBy(e):
+		r.replace(e)
 		return true
 	}
 	return known.update(e, r.isOutdated(e))
 }
 
+// replace stores an endpoint in place of an earlier incarnation.
+func (r *Registry) replace(e Endpoint) {
+	e.Silent, e.SilentRemoval = r.isOutdated(e), false // as this host sees it
+	r.endpoints[e.ID] = &e
+}
+
+// isFollowedBy reports whether a report without a start time comes from a new incarnation: the endpoint had left.
+func (e *Endpoint) isFollowedBy(report Endpoint) bool {
+	return e.StartedAtMs == 0 && e.HasLeft() && report.LastReportAt-e.RemovalReportedAt > removalOverrideDelay
+}
+
 // isOutdated reports whether a report is too old to show that the endpoint is running.
 func (r *Registry) isOutdated(e Endpoint) bool { return r.now-e.LastReportAt >= r.limits.SilentAfter }
 
-// markGone merges a removal report that does not name the incarnation. It is applied to the
-// known incarnation.
-func (e *Endpoint) markGone(reportAt time.Duration) bool {
-	if e.State == Gone {
+// recordRemoval merges a removal report that names no incarnation.
+func (e *Endpoint) recordRemoval(reportedAt time.Duration) bool {
+	if e.State == Gone || reportedAt <= e.RemovalReportedAt {
 		return false
 	}
-	e.State, e.removalUncertain, e.LastReportAt = Gone, true, max(e.LastReportAt, reportAt)
+	e.RemovalReportedAt = reportedAt
 	return true
 }
 
 // update merges a report of the same incarnation. An outdated report does not end silence.
 func (e *Endpoint) update(report Endpoint, outdated bool) bool {
-	changed := false
-	switch {
-	case report.State > e.State:
+	changed := e.RemovalReportedAt < report.RemovalReportedAt && e.recordRemoval(report.RemovalReportedAt)
+	if report.State > e.State {
 		e.State, changed = report.State, true
-	case e.State == Gone && e.removalUncertain && report.State != Gone && report.Seq > e.Seq && report.LastReportAt-e.LastReportAt > removalOverrideDelay:
-		// The removal report was a delayed one of an earlier incarnation.
-		e.State, e.removalUncertain, changed = report.State, false, true
-	}
-	if report.Seq > e.Seq {
-		// The service and the address of an incarnation are fixed: a report with others comes
-		// from another sender.
-		e.Seq = report.Seq
-	}
-	if report.LastReportAt > e.LastReportAt && e.State != Gone {
-		e.LastReportAt = report.LastReportAt
-		if e.Silent && !outdated {
-			e.Silent, changed = false, true
-		}
 	}
-	return changed
+	// The service and the address of an incarnation are fixed: a report with others comes
+	// from another sender.
+	e.Seq = max(e.Seq, report.Seq)
+	return e.recordLife(report.LastReportAt, outdated) || changed
 }
 
-// RecordSignOfLife records a sign of life that another host has received. It reports whether the
-// endpoint was silent.
-func (r *Registry) RecordSignOfLife(id, seq uint64, receivedAt time.Duration) bool {
+// RecordSignOfLife records a sign of life of an incarnation that another host has received. startedAtMs is 0 if
+// that host does not tell. It reports whether the endpoint was silent or its removal had been reported.
+func (r *Registry) RecordSignOfLife(id uint64, startedAtMs int64, seq uint64, receivedAt time.Duration) bool {
 	e, ok := r.endpoints[id]
-	if !ok || seq < e.Seq || receivedAt <= e.LastReportAt || e.State == Gone {
+	if !ok || startedAtMs != 0 && startedAtMs != e.StartedAtMs || seq < e.Seq {
 		return false
 	}
-	e.Seq, e.LastReportAt = seq, receivedAt
-	wasSilent := e.Silent
-	e.Silent = false
-	return wasSilent
+	e.Seq = seq
+	return e.recordLife(receivedAt, false)
+}
+
+// recordLife records that the endpoint has reported. It returns whether that ends its silence or shows that a removal
+// report came from an earlier incarnation.
+func (e *Endpoint) recordLife(reportedAt time.Duration, outdated bool) bool {
+	if reportedAt <= e.LastReportAt || e.State == Gone {
+		return false
+	}
+	wasSilent, wasRemoved := e.Silent, e.RemovalReported()
+	e.LastReportAt = reportedAt
+	if !outdated {
+		e.Silent, e.SilentRemoval = false, false
+	}
+	return e.Silent != wasSilent || e.RemovalReported() != wasRemoved
 }
 
 // Tick marks silent endpoints and removes expired ones. It returns the endpoints that have
-// just become silent and the IDs of those that it removed.
-func (r *Registry) Tick(now time.Duration) (silent []Endpoint, forgotten []uint64) {
+// just become silent or have left, and the IDs of those that it removed.
+func (r *Registry) Tick(now time.Duration) (ended []Endpoint, forgotten []uint64) {
 	r.now = now
 	for id, e := range r.endpoints {
-		switch age := now - e.LastReportAt; {
-		case age >= r.limits.ForgetAfter:
+		age := now - e.LastReportAt
+		if age >= r.limits.ForgetAfter {
 			delete(r.endpoints, id)
 			forgotten = append(forgotten, id)
-		case age >= r.limits.SilentAfter && !e.Silent && e.State != Gone:
-			e.Silent = true
-			silent = append(silent, *e)
+			continue
+		}
+		if e.State == Gone {
+			continue
+		}
+		becomesSilent := !e.Silent && age >= r.limits.SilentAfter
+		leaves := !e.SilentRemoval && e.RemovalReported() && min(age, now-e.RemovalReportedAt) >= r.limits.SilentAfter
+		if becomesSilent || leaves {
+			e.Silent, e.SilentRemoval = e.Silent || becomesSilent, e.SilentRemoval || leaves
+			ended = append(ended, *e)
 		}
 	}
-	slices.SortFunc(silent, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	return silent, forgotten
+	slices.SortFunc(ended, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return ended, forgotten
 }
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cassiawood/internal/registry"
 	"cassiawood/internal/wire/wirepb"
 )
@@ -20,6 +22,10 @@
 	if e.Address.IsValid() {
 		p.Address = e.Address.String()
 	}
+	if e.RemovalReportedAt != 0 {
+		p.RemovalAgeMs = proto.Int64((now - e.RemovalReportedAt).Milliseconds())
+		p.SilentRemoval = e.SilentRemoval
+	}
 	return p
 }
 
@@ -41,6 +47,12 @@
 	if age, limit := p.GetAgeMs(), maxReportAge.Milliseconds(); age < 0 || age > limit || p.GetColdForMs() > limit {
 		return e, fmt.Errorf("endpoint %s: an age of %d ms or a slow start of %d ms is out of range", e.Name, age, p.GetColdForMs())
 	}
+	if p.RemovalAgeMs != nil {
+		if age := p.GetRemovalAgeMs(); age < 0 || age > maxReportAge.Milliseconds() {
+			return e, fmt.Errorf("endpoint %s: the age of %d ms of a removal report is out of range", e.Name, age)
+		}
+		e.RemovalReportedAt, e.SilentRemoval = now-milliseconds(p.GetRemovalAgeMs()), p.GetSilentRemoval()
+	}
 	if p.GetAddress() != "" {
 		address, err := netip.ParseAddrPort(p.GetAddress())
 		if err != nil {
