Order removal reports of endpoints by sequence numbers

Two hosts to which a report took longer by 50 ms came to different results, for good if the endpoint reported no more. Drawn losses between three control hosts (the test comes with the exchange of digests) showed it: 1.05 s between the two at one host, 1.0 s at the other, the limit being 1 s.

A removal report now takes the sequence number after the latest report that the host knows. A report with a higher one shows that the endpoint runs; one with the same number may have been overtaken. An endpoint whose removal was reported has left once it is silent. Nothing in the record depends on a clock any more.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -137,7 +137,8 @@
 	d.registrySnapshots.Offer(data)
 }
 
-// loadRegistry merges a saved registry into r. Invalid entries, which an earlier
+// loadRegistry merges a saved registry into r. It is unknown how long the process was down, so
+// endpoints that were not silent count as having reported now. Invalid entries, which an earlier
 // build may have saved, are left out and joined to the error.
 func loadRegistry(r *registry.Registry, data []byte, now, silentAfter time.Duration) error {
 	r.Tick(now)
@@ -152,7 +153,10 @@
 			invalid = append(invalid, err)
 			continue
 		}
-		r.Merge(e.AfterRestart(now, silentAfter))
+		if e.LastReportAt = now; e.Silent {
+			e.LastReportAt = now - silentAfter
+		}
+		r.Merge(e)
 	}
 	return errors.Join(invalid...)
 }
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -139,13 +139,9 @@
 }
 
 func (d *stateDuty) tick() {
-	ended, forgotten := d.registry.Tick(d.now)
-	for _, e := range ended {
-		message := "endpoint is silent"
-		if e.HasLeft() {
-			message = "endpoint has left"
-		}
-		d.log.Info(message, "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.LastReportAt).Milliseconds())
+	silent, forgotten := d.registry.Tick(d.now)
+	for _, e := range silent {
+		d.log.Info("endpoint is silent", "endpoint", e.Name, "service", e.Service, "ageMs", (d.now - e.LastReportAt).Milliseconds(), "left", e.HasLeft())
 		d.registryChanged, d.unpublishedEndpoints[e.ID], d.lastFullState.frames = true, true, nil
 	}
 	d.publishEndpoints(forgotten)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -42,65 +42,40 @@
 // Endpoint is one incarnation of a backend server.
 //
 // A removal report may name no incarnation, so it may have been sent by an earlier one and be late. It does not
-// change the state; the time at which it arrived is kept in RemovalReportedAt. The endpoint gets no new flows
-// from then on, and has left once it stays silent. A report that arrives more than removalOverrideDelay after the
-// removal report shows that the endpoint runs. The state and both times only grow within an incarnation, so copies
-// that have merged the same reports agree.
+// change the state. It takes the sequence number after the latest report, RemovalSeq. The endpoint gets no new flows
+// from then on, and has left once it is silent. A report with a higher number shows that the endpoint runs.
+// The state and the numbers only grow within an incarnation, so copies that have merged the same reports agree.
 type Endpoint struct {
-	ID                uint64 // numeric identity, as packets to the endpoint carry it
-	Name              string // identity as the endpoint reports it
-	StartedAtMs       int64  // start of the incarnation by the endpoint's clock, in milliseconds since the Unix epoch; 0 if not reported
-	Seq               uint64 // sequence number of the latest report
-	Service           string
-	Address           netip.AddrPort
-	Domain            string // failure domain
-	Slots             uint32
-	State             State
-	ColdUntil         time.Duration // end of its slow start, by the clock of this host
-	LastReportAt      time.Duration // time of the latest report, by the clock of this host
-	RemovalReportedAt time.Duration // time of the latest removal report without an incarnation, by the clock of this host; 0 if none
-	Silent            bool          // no report within the limit for silence
-	SilentRemoval     bool          // nor since a removal report without an incarnation
+	ID           uint64 // numeric identity, as packets to the endpoint carry it
+	Name         string // identity as the endpoint reports it
+	StartedAtMs  int64  // start of the incarnation by the endpoint's clock, in milliseconds since the Unix epoch; 0 if not reported
+	Seq          uint64 // sequence number of the latest report
+	RemovalSeq   uint64 // that of the latest removal report without an incarnation; 0 if none
+	Service      string
+	Address      netip.AddrPort
+	Domain       string // failure domain
+	Slots        uint32
+	State        State
+	ColdUntil    time.Duration // end of its slow start, by the clock of this host
+	LastReportAt time.Duration // time of the latest report, by the clock of this host
+	Silent       bool          // no report within the limit for silence
 }
 
-// removalOverrideDelay is the time after a removal report without an incarnation from which a report of the
-// endpoint shows that it runs. Reports that were sent before the removal report and overtaken by it
-// arrive earlier, unless a network partition delayed them; in that case the endpoint becomes silent again.
-const removalOverrideDelay = time.Second
-
 // RemovalReported reports whether a removal report without an incarnation has arrived and no later report
-// shows that the endpoint runs.
-func (e Endpoint) RemovalReported() bool {
-	return e.RemovalReportedAt != 0 && e.LastReportAt-e.RemovalReportedAt <= removalOverrideDelay
-}
+// shows that the endpoint runs. A report with the same number may have been sent before and overtaken. An endpoint
+// sends its reports one after the other, so two of them are overtaken only where a network partition delays them; the
+// endpoint then becomes silent again.
+func (e Endpoint) RemovalReported() bool { return e.RemovalSeq != 0 && e.Seq <= e.RemovalSeq }
 
 // AcceptsFlows reports whether the endpoint takes new flows.
 func (e Endpoint) AcceptsFlows() bool { return e.State == Ready && !e.RemovalReported() }
 
 // HasLeft reports whether the endpoint has ended, so that its flows cannot go on.
-func (e Endpoint) HasLeft() bool { return e.State == Gone || e.SilentRemoval && e.RemovalReported() }
+func (e Endpoint) HasLeft() bool { return e.State == Gone || e.Silent && e.RemovalReported() }
 
 // isRemovalOnly reports whether the endpoint is known by a removal report without an incarnation only.
 func (e Endpoint) isRemovalOnly() bool { return e.State == Gone && e.StartedAtMs == 0 }
 
-// AfterRestart returns the endpoint as a host knows it that has read it from its disk at the time now. It is unknown
-// how long the host was down, so an endpoint that was not silent counts as having reported now.
-func (e Endpoint) AfterRestart(now, silentAfter time.Duration) Endpoint {
-	at := func(wasLongAgo bool) time.Duration {
-		if wasLongAgo {
-			return now - silentAfter
-		}
-		return now
-	}
-	if e.RemovalReported() {
-		e.RemovalReportedAt = at(e.SilentRemoval)
-	} else {
-		e.RemovalReportedAt = 0
-	}
-	e.LastReportAt = at(e.Silent || e.SilentRemoval)
-	return e
-}
-
 // Limits holds the time limits of a registry.
 type Limits struct {
 	SilentAfter time.Duration // an endpoint without a report for this long gets no new flows
@@ -151,10 +126,9 @@
 		r.replace(e)
 		return true
 	case e.isRemovalOnly():
-		return known.recordRemoval(e.LastReportAt)
+		return known.recordRemoval(known.Seq + 1)
 	case known.isRemovalOnly():
-		// The report may be older than the removal report.
-		e.RemovalReportedAt = max(e.RemovalReportedAt, known.LastReportAt)
+		e.RemovalSeq = max(e.RemovalSeq, e.Seq+1) // the report may be older than the removal report
 		r.replace(e)
 		return true
 	case e.StartedAtMs < known.StartedAtMs:
@@ -168,37 +142,35 @@
 
 // replace stores an endpoint in place of an earlier incarnation.
 func (r *Registry) replace(e Endpoint) {
-	e.Silent, e.SilentRemoval = r.isOutdated(e), false // as this host sees it
+	e.Silent = r.isOutdated(e) // as this host sees it
 	r.endpoints[e.ID] = &e
 }
 
-// isFollowedBy reports whether a report without a start time comes from a new incarnation: the endpoint had left.
-func (e *Endpoint) isFollowedBy(report Endpoint) bool {
-	return e.StartedAtMs == 0 && e.HasLeft() && report.LastReportAt-e.RemovalReportedAt > removalOverrideDelay
-}
+// isFollowedBy reports whether a report comes from a new incarnation although it tells no start time: the endpoint has
+// left.
+func (e *Endpoint) isFollowedBy(report Endpoint) bool { return report.StartedAtMs == 0 && e.HasLeft() }
 
 // isOutdated reports whether a report is too old to show that the endpoint is running.
 func (r *Registry) isOutdated(e Endpoint) bool { return r.now-e.LastReportAt >= r.limits.SilentAfter }
 
 // recordRemoval merges a removal report that names no incarnation.
-func (e *Endpoint) recordRemoval(reportedAt time.Duration) bool {
-	if e.State == Gone || reportedAt <= e.RemovalReportedAt {
+func (e *Endpoint) recordRemoval(seq uint64) bool {
+	if e.State == Gone || seq <= e.RemovalSeq {
 		return false
 	}
-	e.RemovalReportedAt = reportedAt
+	e.RemovalSeq = seq
 	return true
 }
 
 // update merges a report of the same incarnation. An outdated report does not end silence.
 func (e *Endpoint) update(report Endpoint, outdated bool) bool {
-	changed := e.RemovalReportedAt < report.RemovalReportedAt && e.recordRemoval(report.RemovalReportedAt)
+	changed := e.recordRemoval(report.RemovalSeq)
 	if report.State > e.State {
 		e.State, changed = report.State, true
 	}
 	// The service and the address of an incarnation are fixed: a report with others comes
 	// from another sender.
-	e.Seq = max(e.Seq, report.Seq)
-	return e.recordLife(report.LastReportAt, outdated) || changed
+	return e.recordLife(report.Seq, report.LastReportAt, outdated) || changed
 }
 
 // RecordSignOfLife records a sign of life of an incarnation that another host has received. startedAtMs is 0 if
@@ -208,45 +180,35 @@
 	if !ok || startedAtMs != 0 && startedAtMs != e.StartedAtMs || seq < e.Seq {
 		return false
 	}
-	e.Seq = seq
-	return e.recordLife(receivedAt, false)
+	return e.recordLife(seq, receivedAt, false)
 }
 
 // recordLife records that the endpoint has reported. It returns whether that ends its silence or shows that a removal
 // report came from an earlier incarnation.
-func (e *Endpoint) recordLife(reportedAt time.Duration, outdated bool) bool {
-	if reportedAt <= e.LastReportAt || e.State == Gone {
-		return false
+func (e *Endpoint) recordLife(seq uint64, reportedAt time.Duration, outdated bool) bool {
+	before := *e
+	e.Seq = max(e.Seq, seq)
+	if reportedAt > e.LastReportAt && e.State != Gone {
+		e.LastReportAt = reportedAt
+		e.Silent = e.Silent && outdated
 	}
-	wasSilent, wasRemoved := e.Silent, e.RemovalReported()
-	e.LastReportAt = reportedAt
-	if !outdated {
-		e.Silent, e.SilentRemoval = false, false
-	}
-	return e.Silent != wasSilent || e.RemovalReported() != wasRemoved
+	return e.Silent != before.Silent || e.RemovalReported() != before.RemovalReported()
 }
 
 // Tick marks silent endpoints and removes expired ones. It returns the endpoints that have
-// just become silent or have left, and the IDs of those that it removed.
-func (r *Registry) Tick(now time.Duration) (ended []Endpoint, forgotten []uint64) {
+// just become silent and the IDs of those that it removed.
+func (r *Registry) Tick(now time.Duration) (silent []Endpoint, forgotten []uint64) {
 	r.now = now
 	for id, e := range r.endpoints {
-		age := now - e.LastReportAt
-		if age >= r.limits.ForgetAfter {
+		switch age := now - e.LastReportAt; {
+		case age >= r.limits.ForgetAfter:
 			delete(r.endpoints, id)
 			forgotten = append(forgotten, id)
-			continue
-		}
-		if e.State == Gone {
-			continue
-		}
-		becomesSilent := !e.Silent && age >= r.limits.SilentAfter
-		leaves := !e.SilentRemoval && e.RemovalReported() && min(age, now-e.RemovalReportedAt) >= r.limits.SilentAfter
-		if becomesSilent || leaves {
-			e.Silent, e.SilentRemoval = e.Silent || becomesSilent, e.SilentRemoval || leaves
-			ended = append(ended, *e)
+		case age >= r.limits.SilentAfter && !e.Silent && e.State != Gone:
+			e.Silent = true
+			silent = append(silent, *e)
 		}
 	}
-	slices.SortFunc(ended, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	return ended, forgotten
+	slices.SortFunc(silent, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return silent, forgotten
 }
