Compare the endpoints that control hosts know, and send what differs

Cause: an update of an endpoint travels once. Nobody repeats an update, and the endpoint's later reports change nothing where they arrive, so the others get signs of life, which carry no state. The host kept the endpoint as ready, with the newest sequence number, which made entry hosts believe it.

Change: control hosts send digests of the endpoints and states that they know, in 16 groups, with their signs of life every 0.4 s. A host that sees a group differ in three messages in a row sends its endpoints of that group, and so does the other one. The decision is registry.Comparison. Whatever a host has missed, by a lost message or another way, it learns within seconds. At the entry hosts an endpoint that drains does not become ready again in the same incarnation.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cassiawood/internal/changelog"
 	"cassiawood/internal/registry"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
@@ -69,6 +70,7 @@
 	d.signsOfLifeSentAt = d.now
 	d.broadcast(&wirepb.EndpointUpdate{
 		From: d.self.Address, FromId: d.self.ID, FromDomain: d.self.Domain, Stopping: d.isStopping, Alive: d.signsOfLife,
+		Digests: wire.DigestsToProto(d.registry.Digests()),
 	})
 	d.signsOfLife = nil
 }
@@ -101,15 +103,44 @@
 			d.endpointChanged(e, "sign of life")
 		}
 	}
+	d.comparePeer(u)
 	if len(u.GetDemand()) > 0 {
 		d.peerDemand[u.GetFrom()] = demandReport{receivedAt: d.now, demand: u.GetDemand()}
 	}
 	if u.GetRequestAll() {
-		all := &wirepb.EndpointUpdate{Reports: d.allEndpoints(), From: d.self.Address}
-		d.linksInbox.Offer(sendTo{address: u.GetFrom(), envelope: &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{EndpointUpdate: all}}})
+		d.sendReports(u.GetFrom(), d.allEndpoints())
 	}
 }
 
+// comparePeer compares the endpoints of another control host with those of this one and sends it what differs. An
+// update is lost with its connection, which may be dead for seconds before its sender notices, and the endpoint
+// does not report the same change again.
+func (d *stateDuty) comparePeer(u *wirepb.EndpointUpdate) {
+	digests, ok := wire.DigestsFromProto(u.GetDigests())
+	isMember := slices.ContainsFunc(d.status.Members, func(m changelog.Member) bool { return m.Address == u.GetFrom() })
+	if !ok || !isMember {
+		return
+	}
+	groups := d.comparison.Compare(u.GetFrom(), digests, d.registry.Digests())
+	if len(groups) == 0 {
+		return
+	}
+	var reports []*wirepb.EndpointReport
+	for _, report := range d.allEndpoints() {
+		if slices.ContainsFunc(groups, func(group int) bool { return registry.InGroup(report.GetId(), group) }) {
+			reports = append(reports, report)
+		}
+	}
+	d.log.Info("endpoints differ from those of another control host", "peer", u.GetFrom(), "groups", len(groups), "sent", len(reports))
+	d.sendReports(u.GetFrom(), reports)
+}
+
+// sendReports sends endpoints to one other control host.
+func (d *stateDuty) sendReports(address string, reports []*wirepb.EndpointReport) {
+	u := &wirepb.EndpointUpdate{Reports: reports, From: d.self.Address}
+	d.linksInbox.Offer(sendTo{address: address, envelope: &wirepb.Envelope{Body: &wirepb.Envelope_EndpointUpdate{EndpointUpdate: u}}})
+}
+
 func (d *stateDuty) allEndpoints() []*wirepb.EndpointReport {
 	var reports []*wirepb.EndpointReport
 	for _, e := range d.registry.All() {
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -53,6 +53,7 @@
 	appliedIndex  uint64 // of the last applied log entry
 	snapshotIndex uint64 // index of the last snapshot
 	registry      *registry.Registry
+	comparison    registry.Comparison // of the registry with those of other control hosts
 	status        changelog.Status
 	seeds         []string
 
@@ -182,6 +183,11 @@
 		d.log.Info("membership", "members", fmt.Sprint(s.Members), "committed", !s.MembershipChanging)
 		d.linksInbox.Offer(membersChanged{members: s.Members})
 		d.pruneMemberDomains()
+		for _, m := range previous.Members {
+			if !slices.ContainsFunc(s.Members, func(o changelog.Member) bool { return o.Address == m.Address }) {
+				d.comparison.Forget(m.Address)
+			}
+		}
 		d.publishControlHosts()
 	}
 	if previous.Role == changelog.Leader && s.Role != changelog.Leader {
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -274,8 +274,9 @@
 		if e.StartedAtMs < old.StartedAtMs {
 			return
 		}
-		if e.StartedAtMs == old.StartedAtMs && e.State < old.State && e.Seq <= old.Seq {
-			// A control host that was cut off may have missed the newer state of the endpoint.
+		if e.StartedAtMs == old.StartedAtMs && e.State < old.State && (e.Seq <= old.Seq || old.State == registry.Draining && e.StartedAtMs != 0) {
+			// A control host that was cut off may have missed the newer state of the endpoint, though it has its latest
+			// sign of life. An incarnation that drains does not become ready again.
 			e.State = old.State
 		}
 		if e.State != old.State || e.Silent != old.Silent || e.StartedAtMs != old.StartedAtMs || e.RemovalReported() != old.RemovalReported() {
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -99,6 +99,19 @@
 		Expect(h.endpoints[1].State).To(Equal(registry.Draining))
 	})
 
+	// Guards against new flows to an endpoint that drains: a control host that has missed the beginning has its later
+	// signs of life, and so a higher sequence number.
+	It("keeps an endpoint draining when a control host sends it as ready with a later report", func() {
+		h := newEngineHarness()
+		h.receive(&wirepb.EdgeUpdate{Table: routes(1), Endpoints: []*wirepb.EndpointReport{reportOf(1, 5, registry.Draining, false)}})
+		h.receive(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{reportOf(1, 9, registry.Ready, false)}})
+		Expect(h.endpoints[1].AcceptsFlows()).To(BeFalse())
+		restarted := reportOf(1, 1, registry.Ready, false)
+		restarted.BornMs++
+		h.receive(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{restarted}})
+		Expect(h.endpoints[1].AcceptsFlows()).To(BeTrue())
+	})
+
 	// Guards against losing endpoints when a control host has just started and has few of them.
 	It("loses only gone and silent endpoints when a control host does not send them", func() {
 		h := newEngineHarness()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -84,9 +84,11 @@
 
 // Registry is the copy of one host. It is not safe for concurrent use.
 type Registry struct {
-	limits    Limits
-	endpoints map[uint64]*Endpoint
-	now       time.Duration // time of the last Tick
+	limits       Limits
+	endpoints    map[uint64]*Endpoint
+	now          time.Duration // time of the last Tick
+	digests      Digests
+	digestsValid bool // digests are those of the present endpoints
 }
 
 // New returns an empty registry.
@@ -120,6 +122,12 @@
 // whether the endpoint changed in a way that other hosts need; a newer time of the latest
 // report alone is no such change.
 func (r *Registry) Merge(e Endpoint) bool {
+	changed := r.merge(e)
+	r.digestsValid = r.digestsValid && !changed
+	return changed
+}
+
+func (r *Registry) merge(e Endpoint) bool {
 	known, ok := r.endpoints[e.ID]
 	switch {
 	case !ok:
@@ -180,7 +188,9 @@
 	if !ok || startedAtMs != 0 && startedAtMs != e.StartedAtMs || seq < e.Seq {
 		return false
 	}
-	return e.recordLife(seq, receivedAt, false)
+	changed := e.recordLife(seq, receivedAt, false)
+	r.digestsValid = r.digestsValid && !changed
+	return changed
 }
 
 // recordLife records that the endpoint has reported. It returns whether that ends its silence or shows that a removal
@@ -203,6 +213,7 @@
 		switch age := now - e.LastReportAt; {
 		case age >= r.limits.ForgetAfter:
 			delete(r.endpoints, id)
+			r.digestsValid = false
 			forgotten = append(forgotten, id)
 		case age >= r.limits.SilentAfter && !e.Silent && e.State != Gone:
 			e.Silent = true
--- a/internal/wire/registry.go
+++ b/internal/wire/registry.go
@@ -53,3 +53,15 @@
 	}
 	return e, nil
 }
+
+// DigestsToProto converts the digests of a registry.
+func DigestsToProto(d registry.Digests) []uint64 { return d[:] }
+
+// DigestsFromProto converts digests from another host. It returns false if there are none, or those of another number
+// of groups.
+func DigestsFromProto(list []uint64) (registry.Digests, bool) {
+	if len(list) != registry.DigestGroups {
+		return registry.Digests{}, false
+	}
+	return registry.Digests(list), true
+}
