Repeat the members of the log to the links of a control host

The state duty never waits for the links duty, so the inbox between them drops its oldest values when the links duty gets no processor time. A change of the membership that was dropped was not told again: the host sent nothing to a new member until the next change.

Members that are known already change nothing, so links to hosts that are not members yet stay open.

"learn the members again after the message about them was dropped" was red before.

--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -68,6 +68,7 @@
 		return
 	}
 	d.signsOfLifeSentAt = d.now
+	d.linksInbox.Offer(membersChanged{members: d.status.Members})
 	d.broadcast(&wirepb.EndpointUpdate{
 		From: d.self.Address, FromId: d.self.ID, FromDomain: d.self.Domain, Stopping: d.isStopping, Alive: d.signsOfLife,
 		Digests: wire.DigestsToProto(d.registry.Digests()),
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 
 	"cassiawood/internal/changelog"
 	"cassiawood/internal/duty"
@@ -19,7 +20,8 @@
 type linkEvent interface{ isLinkEvent() }
 
 type (
-	// membersChanged replaces the members of the log, to which links are kept.
+	// membersChanged replaces the members of the log, to which links are kept. It is repeated, since the inbox of the
+	// links duty may drop it.
 	membersChanged struct{ members changelog.Membership }
 	// sendLogMessage sends a message of the log to the host that it names.
 	sendLogMessage struct{ message changelog.Message }
@@ -99,6 +101,9 @@
 // setMembers closes the links to hosts that are no longer members. The addresses of other peers
 // are kept: the membership in a snapshot may predate the leader that sends it.
 func (d *linksDuty) setMembers(members changelog.Membership) {
+	if slices.Equal(members, d.members) {
+		return
+	}
 	d.members = members
 	wanted := map[string]bool{}
 	for _, m := range members {
--- a/internal/cluster/links_test.go
+++ b/internal/cluster/links_test.go
@@ -64,6 +64,32 @@
 		Expect(d.peerAddresses).To(HaveKey(uint64(100 + maxPeerAddresses - 1)))
 	})
 
+	// Guards against a host that never sends to a new member: the inbox of the links duty drops its oldest values
+	// while that duty gets no processor time, and the membership does not change again.
+	It("learn the members again after the message about them was dropped", func() {
+		h := newPeers(2)[0]
+		for h.linksInbox.Depth() > 0 {
+			_, _ = h.linksInbox.Get()
+		}
+		h.advance(signOfLifeInterval)
+		d := newLinksDuty()
+		for h.linksInbox.Depth() > 0 {
+			e, _ := h.linksInbox.Get()
+			Expect(d.handle(e)).To(Succeed())
+		}
+		Expect(d.outboxes).To(HaveKey("127.0.0.1:2"))
+	})
+
+	// Guards against links to hosts that are no members yet, which end each time the members are repeated.
+	It("to other hosts stay open while the members do not change", func() {
+		d := newLinksDuty()
+		members := changelog.Membership{{ID: 2, Address: "127.0.0.1:2"}}
+		Expect(d.handle(membersChanged{members})).To(Succeed())
+		Expect(d.handle(sendTo{address: "127.0.0.1:7", envelope: &wirepb.Envelope{}})).To(Succeed())
+		Expect(d.handle(membersChanged{members})).To(Succeed())
+		Expect(d.outboxes).To(HaveKey("127.0.0.1:7"))
+	})
+
 	// Guards against links that remain for each host that is replaced.
 	It("are closed when their peer is removed from the membership", func() {
 		d := newLinksDuty()
