Store the entries of a step of the log before the commit index that names them

Callers saw: after the loss of one more disk no desired state was read or taken any more.

A stop in between left a commit index after the last entry. wal.Open accepted that, and newEntryLog refused it.

--- a/internal/changelog/wal/open.go
+++ b/internal/changelog/wal/open.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
+	if err := changelog.CheckStored(recovered.Snapshot, recovered.Entries); err != nil {
+		return nil, Recovered{}, &CorruptError{File: segmentName(s.current().number), Reason: err.Error()}
+	}
 	if err := s.resume(r.validSize, reset, &recovered); err != nil {
 		return nil, Recovered{}, fmt.Errorf("wal: opening the log for writing: %w", err)
 	}
--- a/internal/changelog/wal/storage.go
+++ b/internal/changelog/wal/storage.go
@@ -65,29 +65,39 @@
 	return nil
 }
 
+// save writes the parts of a Ready in an order in which the files are sound after each operation: no hard state is
+// stored before the entries up to its commit index.
 func (s *Storage) save(r changelog.Ready) error {
 	if r.HardState != nil {
 		s.hardState = *r.HardState
 	}
-	if r.Snapshot != nil {
-		if err := s.writeSnapshot(r.Snapshot); err != nil {
+	if r.InstallSnapshot {
+		// The entries follow the snapshot.
+		if err := s.replaceSnapshot(r.Snapshot, r.Snapshot); err != nil {
 			return err
 		}
-		reset := r.Snapshot
-		if !r.InstallSnapshot {
-			reset = nil
-		}
-		if err := s.startSegment(reset); err != nil {
-			return err
-		}
-		if err := s.removeCovered(r.Snapshot.Index, r.InstallSnapshot); err != nil {
+	}
+	if len(r.Entries) > 0 || r.HardState != nil && r.Snapshot == nil {
+		if err := s.appendEntries(r.Entries); err != nil {
 			return err
 		}
 	}
-	if len(r.Entries) == 0 && (r.HardState == nil || r.Snapshot != nil) {
-		return nil
+	if r.Snapshot != nil && !r.InstallSnapshot {
+		return s.replaceSnapshot(r.Snapshot, nil)
+	}
+	return nil
+}
+
+// replaceSnapshot stores a snapshot, starts a segment and removes the segments that are no longer needed. See
+// startSegment for installed.
+func (s *Storage) replaceSnapshot(snapshot, installed *changelog.Snapshot) error {
+	if err := s.writeSnapshot(snapshot); err != nil {
+		return err
+	}
+	if err := s.startSegment(installed); err != nil {
+		return err
 	}
-	return s.appendEntries(r.Entries)
+	return s.removeCovered(snapshot.Index, installed != nil)
 }
 
 // appendEntries writes and syncs the hard state and entries as one record, so that after
@@ -159,7 +169,9 @@
 		return err
 	}
 	if installed != nil {
-		s.buf = appendReset(beginRecord(s.buf[:0], typeReset), installed.Index, s.hardState)
+		hs := s.hardState
+		hs.Commit = min(hs.Commit, installed.Index) // the entries after it are not stored yet
+		s.buf = appendReset(beginRecord(s.buf[:0], typeReset), installed.Index, hs)
 	} else {
 		s.buf = appendSave(beginRecord(s.buf[:0], typeSave), s.hardState, nil)
 	}
