--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -162,7 +162,8 @@
 	deadline := clock() + openTimeout
 	for {
 		id, node, routes, err := h.tryOpenData(clock)
-		if err == nil || clock() >= deadline {
+		var unreadable *unreadableStateError
+		if err == nil || clock() >= deadline || errors.As(err, &unreadable) {
 			return id, node, routes, err
 		}
 		h.log.Warn("data folder cannot be opened yet", "error", err)
@@ -170,6 +171,19 @@
 	}
 }
 
+// unreadableStateError reports a snapshot that is undamaged but cannot be decoded: another version has written it, or this one
+// has a fault. The data is kept. All hosts would fail alike, so their disks must not count as lost.
+type unreadableStateError struct {
+	index uint64 // last entry that the snapshot covers
+	cause error
+}
+
+func (e *unreadableStateError) Error() string {
+	return fmt.Sprintf("the snapshot up to entry %d is undamaged, but this version cannot read it; start the version that wrote it: %v", e.index, e.cause)
+}
+
+func (e *unreadableStateError) Unwrap() error { return e.cause }
+
 func (h *Host) tryOpenData(clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
 	fail := func(err error) (identity, *changelog.Node, *routing.State, error) { return identity{}, nil, nil, err }
 	id, err := loadIdentity(h.settings, h.log)
@@ -198,7 +212,7 @@
 	routes := routing.NewState()
 	if recovered.Snapshot.Index > 0 {
 		if routes, err = wire.DecodeRoutingState(recovered.Snapshot.State); err != nil {
-			return fail(errors.Join(err, store.Close()))
+			return fail(errors.Join(&unreadableStateError{index: recovered.Snapshot.Index, cause: err}, store.Close()))
 		}
 	}
 	node, err := changelog.New(changelog.Config{
