Let an address pass to a newer endpoint only when the older one is silent

The older endpoint gets no new flows while the newer one reports, as before. Its flows end only when it is silent as well, which a reused address always comes to, and then for good: a late report of it changes nothing. If the newer one falls silent or is forgotten while the older one reports, the older one is used again.

"keeps the flows of an endpoint that goes on reporting when a newer incarnation claims its address" failed before.

--- a/internal/affinity/ended.go
+++ b/internal/affinity/ended.go
@@ -9,9 +9,10 @@
 // an endpoint with a stalled flow are reset. Each comes from another flow.
 const unresponsiveFailures = 3
 
-// markEnding records when an endpoint was gone or replaced. Its idle flows are reset later.
+// markEnding records when an endpoint has ended: it is gone, or it is silent and a newer incarnation has reported at
+// its address. Its idle flows are reset later. A late report of it after that changes nothing.
 func (e *Engine) markEnding(now time.Duration, ep *endpoint) {
-	if ep.goneAt < 0 {
+	if ep.goneAt < 0 && (ep.Gone || ep.replacedBy != nil && ep.Silent) {
 		ep.goneAt = now
 		e.ending = append(e.ending, ep)
 	}
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -59,8 +59,9 @@
 	workFactor    float64 // cost factor of its failure domain for work in progress
 	health        passiveHealth
 	token         uint32
-	goneAt        time.Duration // when it was gone or replaced; -1 before
-	replaced      bool          // a newer incarnation uses its address
+	goneAt        time.Duration // when it had ended, by what was known then; -1 before
+	replacedBy    *endpoint     // a newer incarnation that has reported at its address
+	replaces      *endpoint     // the one whose address it has taken
 	tokenCollides bool          // an endpoint with a lower ID has the same token
 	Endpoint
 }
@@ -163,7 +164,7 @@
 			return
 		}
 		if s.StartedAtMs > ep.StartedAtMs {
-			ep.health, ep.goneAt, ep.replaced = passiveHealth{}, -1, false
+			ep.health, ep.goneAt, ep.replacedBy = passiveHealth{}, -1, nil
 		}
 		if !listed {
 			e.removeFromService(ep)
@@ -171,13 +172,11 @@
 		if ep.Address != s.Address && e.byAddress[ep.Address] == ep {
 			delete(e.byAddress, ep.Address) // another endpoint may use the address that it has left
 		}
+		if ep.Gone && !s.Gone {
+			ep.goneAt = -1 // it has turned out to be running
+		}
 		ep.Endpoint = s
 	}
-	if ep.Gone {
-		e.markEnding(now, ep)
-	} else if !ep.replaced {
-		ep.goneAt = -1 // it has turned out to be running
-	}
 	ep.loadPerFlow = 1 / float64(max(ep.Slots, 1))
 	e.setDomainFactors(ep)
 	if !listed {
@@ -186,7 +185,14 @@
 	if ep.Domain != e.cfg.Domain {
 		e.candidates[ep.Service].lowerBoundsTo(ep)
 	}
-	e.claimAddress(now, ep)
+	e.claimAddress(ep)
+	if ep.Silent || ep.Gone {
+		e.returnAddress(ep)
+	}
+	e.markEnding(now, ep)
+	if ep.replaces != nil {
+		e.markEnding(now, ep.replaces)
+	}
 }
 
 // addToken indexes the endpoint by its token. Of two endpoints with the same token
@@ -216,20 +222,31 @@
 	}
 }
 
-// claimAddress records the newest incarnation at an address and marks an older one there
-// as replaced.
-func (e *Engine) claimAddress(now time.Duration, ep *endpoint) {
+// claimAddress records the newest incarnation at an address, which an older one there no longer gets new flows for. Only
+// when the older one is silent, it has ended: one that goes on reporting shows that the other report is wrong.
+func (e *Engine) claimAddress(ep *endpoint) {
 	holder := e.byAddress[ep.Address]
-	if holder == nil || holder == ep || holder.StartedAtMs <= ep.StartedAtMs {
-		if holder != nil && holder != ep && holder.StartedAtMs < ep.StartedAtMs {
-			holder.replaced = true
-			e.markEnding(now, holder)
-		}
+	switch {
+	case holder == nil || holder == ep || holder.StartedAtMs == ep.StartedAtMs:
 		e.byAddress[ep.Address] = ep
+	case holder.StartedAtMs < ep.StartedAtMs:
+		holder.replacedBy, ep.replaces, e.byAddress[ep.Address] = ep, holder, ep
+	default:
+		ep.replacedBy = holder
+		if holder.replaces == nil {
+			holder.replaces = ep
+		}
+	}
+}
+
+// returnAddress gives the address of an endpoint that does not report any more back to the one that had it, if
+// that one has gone on reporting.
+func (e *Engine) returnAddress(ep *endpoint) {
+	holder := ep.replaces
+	if holder == nil || holder.Silent || holder.Gone || holder.goneAt >= 0 || e.byAddress[ep.Address] != ep || holder.replacedBy != ep {
 		return
 	}
-	ep.replaced = true
-	e.markEnding(now, ep)
+	holder.replacedBy, ep.replaces, e.byAddress[ep.Address] = nil, nil, holder
 }
 
 func (e *Engine) addToService(ep *endpoint) {
@@ -253,6 +270,11 @@
 	if ep == nil {
 		return
 	}
+	e.returnAddress(ep)
+	if next := ep.replacedBy; next != nil && next.replaces == ep {
+		next.replaces = nil
+	}
+	ep.replaces, ep.replacedBy = nil, nil
 	delete(e.byID, id)
 	e.removeFromService(ep)
 	if e.byToken[ep.token] == ep {
@@ -265,9 +287,9 @@
 	ep.Gone, ep.goneAt = true, 0
 }
 
-// hasEnded reports whether the endpoint is gone or replaced and its grace period is over.
+// hasEnded reports whether the endpoint has ended and its grace period is over.
 func (ep *endpoint) hasEnded(now time.Duration) bool {
-	return (ep.Gone || ep.replaced) && ep.goneAt >= 0 && now-ep.goneAt >= goneGracePeriod
+	return ep.goneAt >= 0 && now-ep.goneAt >= goneGracePeriod
 }
 
 // Decide returns the decision for a packet of a caller.
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -91,7 +91,7 @@
 
 // usable reports whether new flows may go to the endpoint.
 func (ep *endpoint) usable() bool {
-	return ep.AcceptsFlows && !ep.Gone && !ep.replaced && !ep.tokenCollides
+	return ep.AcceptsFlows && !ep.Gone && ep.replacedBy == nil && !ep.tokenCollides
 }
 
 // penalty returns the cost of the endpoint above its load: for slow start, suspicion and silence.
