--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -81,7 +81,7 @@
 	if u.GetFromId() != 0 {
 		d.memberDomains[u.GetFromId()] = u.GetFromDomain()
 	}
-	if u.GetFrom() != "" && !u.GetStopping() {
+	if u.GetFrom() != "" {
 		d.steering.heardAt[u.GetFrom()] = d.now
 	}
 	if u.GetStopping() {
--- a/internal/cluster/leaving_test.go
+++ b/internal/cluster/leaving_test.go
@@ -123,6 +123,7 @@
 		Expect(h.reportAddress(e)).To(Equal("127.0.0.1:2"))
 		update.Stopping = true
 		h.handleEvent(peerUpdate{update})
+		h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:2", Demand: []*wirepb.Demand{{Service: "desk", Domain: "b", Flows: 1}}}})
 		e.ID = 6
 		Expect(h.reportAddress(e)).To(Equal(h.self.Address))
 	})
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -237,7 +237,6 @@
 	if _, known := d.leavingSaidAt[id]; !known {
 		d.log.Info("control host is being stopped", "host", address, "id", id)
 	}
-	delete(d.steering.heardAt, address)
 	d.leavingSaidAt[id] = d.now
 	d.changeMembership()
 }
--- a/internal/cluster/steer.go
+++ b/internal/cluster/steer.go
@@ -53,7 +53,8 @@
 		if domain == "" {
 			domain = d.memberDomains[m.ID]
 		}
-		if at, heard := d.steering.heardAt[m.Address]; domain == e.Domain && heard && d.now-at <= peerLifetime {
+		_, isLeaving := d.leavingSaidAt[m.ID]
+		if at, heard := d.steering.heardAt[m.Address]; domain == e.Domain && heard && !isLeaving && d.now-at <= peerLifetime {
 			running = append(running, m.Address)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -73,6 +73,9 @@
 // HasLeft reports whether the endpoint has ended, so that its flows cannot go on.
 func (e Endpoint) HasLeft() bool { return e.State == Gone || e.Silent && e.RemovalReported() }
 
+// nextSeq returns the sequence number after the latest report.
+func (e Endpoint) nextSeq() uint64 { return min(e.Seq+1, maxSeq) }
+
 // isRemovalOnly reports whether the endpoint is known by a removal report without an incarnation only.
 func (e Endpoint) isRemovalOnly() bool { return e.State == Gone && e.StartedAtMs == 0 }
 
@@ -134,9 +137,9 @@
 		r.replace(e)
 		return true
 	case e.isRemovalOnly():
-		return known.recordRemoval(known.Seq + 1)
+		return known.recordRemoval(known.nextSeq())
 	case known.isRemovalOnly():
-		e.RemovalSeq = max(e.RemovalSeq, e.Seq+1) // the report may be older than the removal report
+		e.RemovalSeq = max(e.RemovalSeq, e.nextSeq()) // the report may be older than the removal report
 		r.replace(e)
 		return true
 	case e.StartedAtMs < known.StartedAtMs:
@@ -155,8 +158,10 @@
 }
 
 // isFollowedBy reports whether a report comes from a new incarnation although it tells no start time: the endpoint has
-// left.
-func (e *Endpoint) isFollowedBy(report Endpoint) bool { return report.StartedAtMs == 0 && e.HasLeft() }
+// left before.
+func (e *Endpoint) isFollowedBy(report Endpoint) bool {
+	return report.StartedAtMs == 0 && e.HasLeft() && report.LastReportAt > e.LastReportAt
+}
 
 // isOutdated reports whether a report is too old to show that the endpoint is running.
 func (r *Registry) isOutdated(e Endpoint) bool { return r.now-e.LastReportAt >= r.limits.SilentAfter }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -136,12 +136,25 @@
 		Expect(endpoint(r).LastReportAt).To(Equal(3 * time.Second))
 	})
 
+	// Guards against an endpoint that other hosts reject, so that copies differ for good: its sequence number is the
+	// highest one that is allowed.
+	It("gives a removal report a sequence number that is allowed", func() {
+		r := newRegistry()
+		highest := report(100, 1<<53, registry.Ready, time.Second)
+		highest.Domain = "a"
+		r.Merge(highest)
+		r.Merge(removal(2 * time.Second))
+		Expect(endpoint(r).AcceptsFlows()).To(BeFalse())
+		Expect(endpoint(r).Check(0)).To(Succeed())
+	})
+
 	// Guards against an endpoint without start times that is never used again under its ID.
 	It("takes a report without a start time for a new incarnation after the endpoint has left", func() {
 		r := newRegistry()
 		r.Merge(report(0, 50, registry.Draining, time.Second))
 		r.Merge(removal(2 * time.Second))
 		_, _ = r.Tick(5 * time.Second)
+		Expect(r.Merge(endpoint(r))).To(BeFalse(), "the same from another host")
 		r.Merge(report(0, 1, registry.Ready, 6*time.Second))
 		Expect(endpoint(r).AcceptsFlows()).To(BeTrue())
 	})
