Ask the control hosts that are heard to join, besides the seeds

It knew its seeds only, of which two had been removed for good and one was itself, asked nobody to join, and never took part again. One more lost disk would have ended the majority.

The other hosts still send to its address, by the identity that was lost. It asks those that it hears now.

--- a/internal/cluster/leaving_test.go
+++ b/internal/cluster/leaving_test.go
@@ -152,3 +152,22 @@
 		Expect(joinRequests()).To(BeNumerically(">=", 3))
 	})
 })
+
+var _ = Describe("a control host without its disk", func() {
+	// Guards against a host that never takes part again because all its seeds have been replaced for good, so that one
+	// more lost disk ends the majority. The others still send to its address.
+	It("asks the hosts that it hears to join", func() {
+		h := newStateHarness()
+		h.seeds = []string{"127.0.0.1:1", "127.0.0.1:8"}
+		h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:7", FromId: 7, FromDomain: "b"}})
+		h.advance(joinInterval)
+		asked := map[string]bool{}
+		for h.linksInbox.Depth() > 0 {
+			e, _ := h.linksInbox.Get()
+			if s, ok := e.(sendTo); ok && s.envelope.GetJoinRequest() != nil {
+				asked[s.address] = true
+			}
+		}
+		Expect(asked).To(Equal(map[string]bool{"127.0.0.1:7": true, "127.0.0.1:8": true}))
+	})
+})
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -328,6 +328,11 @@
 	for _, seed := range d.seeds {
 		sendOnce(seed)
 	}
+	// All seeds may have been replaced for good. A host that sends to this one has it among the members, by the identity
+	// that was lost with the disk.
+	for address := range d.steering.heardAt {
+		sendOnce(address)
+	}
 }
 
 func joinEnvelope(m changelog.Member, forwarded bool) *wirepb.Envelope {
