--- /dev/null
+++ b/review/standins-2/operator.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// operator sends desired states.
+type operator struct {
+	record *record
+	hosts  []string
+	client *http.Client
+}
+
+func newOperator(r *record, hosts []string) *operator {
+	return &operator{record: r, hosts: hosts, client: &http.Client{Timeout: time.Second}} // follows a 307 with the same body
+}
+
+// routeOf is a route as the operator writes it.
+func routeOf(name string, address netip.AddrPort, kind, service string) map[string]any {
+	return map[string]any{
+		"name": name, "host": address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", address.Port()), "type": kind, "timeoutMs": 2000,
+		"targetLatencyMs": 200, "priority": 1, "backend": service, "maxAttempts": 2,
+	}
+}
+
+func desired(version int, routes []map[string]any, services ...string) []byte {
+	var backends []map[string]any
+	for _, name := range services {
+		backends = append(backends, map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
+	}
+	text, _ := json.Marshal(map[string]any{ // a map of plain values
+		"version": version, "routes": routes, "backends": backends,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	return text
+}
+
+// call sends a request to one host and returns the status, 0 without an answer, and the body.
+func (o *operator) call(method, host string, body []byte) (int, []byte) {
+	r, err := http.NewRequest(method, "http://"+host+"/cassiawood/config", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := o.client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, text
+}
+
+// put sends a desired state to one host after the other until it is acknowledged or refused, or the time has passed.
+func (o *operator) put(what string, body []byte, limit time.Duration) int {
+	status := 0
+	for begin, i := time.Now(), 0; time.Since(begin) < limit; i++ {
+		status, _ = o.call(http.MethodPut, o.hosts[i%len(o.hosts)], body)
+		switch status {
+		case http.StatusOK, http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+			o.record.say("operator: %s sent: answered with %d after %d ms", what, status, time.Since(begin).Milliseconds())
+			return status
+		}
+		time.Sleep(min(time.Duration(i+1)*100*time.Millisecond, time.Second))
+	}
+	o.record.say("operator: %s sent again for %v: no clear answer, last status %d", what, limit, status)
+	return status
+}
