Review case 7: an acknowledged desired state that can't be read any more

Change: the case with its claim; case 6 shows the fault for a late SYN+ACK too, without repeated SYN+ACKs.

--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// trouble is what happens to the first SYN+ACK of a flow.
+type trouble int
+
+const (
+	noTrouble   trouble = iota
+	losesFirst          // it is lost
+	delaysFirst         // it comes late
+)
+
+// lateBy is how late a delayed SYN+ACK comes.
+const lateBy = 500 * time.Millisecond
+
 // flow is a flow at its client.
 type flow struct {
 	host       *clientHost
@@ -66,8 +78,8 @@
 	open       bool
 	reset      bool // a reset has arrived on the open flow
 	systemSent bool // that reset came from the system
-	loseFirst  bool // the network loses the first answer
-	lost       bool
+	trouble    trouble
+	troubled   bool // the trouble has come
 	acked      uint32
 	answers    chan string
 	opened     chan struct{}
@@ -90,9 +102,12 @@
 func (f *flow) receive(p *packet) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.loseFirst && !f.lost && p.flags == flagSYN|flagACK {
-		f.lost = true
-		f.host.record.say("network: loses a SYN+ACK for %s, echo %08x", f.self, p.echo)
+	if f.trouble != noTrouble && !f.troubled && p.flags == flagSYN|flagACK {
+		f.troubled = true
+		f.host.record.say("network: the first SYN+ACK for %s, echo %08x, %s", f.self, p.echo, f.trouble)
+		if f.trouble == delaysFirst {
+			time.AfterFunc(lateBy, func() { f.receive(p) })
+		}
 		return
 	}
 	if p.flags&flagRST != 0 {
@@ -181,3 +196,8 @@
 	defer f.mu.Unlock()
 	return f.reset
 }
+
+// String tells what happens.
+func (t trouble) String() string {
+	return [...]string{"arrives", "is lost", "comes 500 ms late"}[t]
+}
--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -56,6 +56,8 @@
 	state         string
 	seq           int
 	ended         bool
+	// answersOnce holds the clients to which the endpoint sends a SYN+ACK only once for each SYN.
+	answersOnce map[netip.Addr]bool
 }
 
 // served is a flow at an endpoint.
@@ -74,10 +76,11 @@
 }
 
 func startEndpoint(r *record, w *watch, s *site, number int, service, zone string, controls []string) (*endpoint, error) {
+	answersOnce := map[netip.Addr]bool{s.address(clientKind, lateClient): true}
 	e := &endpoint{
 		record: r, watch: w, name: fmt.Sprintf("i-%08x", 0x7f3a9000+number*0x101), service: service, zone: zone, controls: controls, state: "ready",
 		addr: netip.AddrPortFrom(s.address(endpointKind, number), endpointPort), born: time.Now().UnixMilli(), flows: map[netip.AddrPort]*served{},
-		id: uint64(0x7f3a9000 + number*0x101),
+		id: uint64(0x7f3a9000 + number*0x101), answersOnce: answersOnce,
 	}
 	var err error
 	if e.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.addr)); err != nil {
@@ -142,7 +145,9 @@
 		f = &served{peer: p.from, route: p.to, next: p.seq + 1, first: rand.Uint32(), echo: p.echo}
 		f.sent = f.first + 1
 		e.flows[p.from] = f
-		e.retry(f)
+		if !e.answersOnce[p.from.Addr()] {
+			e.retry(f)
+		}
 	}
 	e.record.say("endpoint %s: SYN of %s, copy %d", e.name, p.from, p.ack)
 	if !f.open {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -22,6 +22,7 @@
 // cases maps the name of a case to the function that plays it and returns whether the rule was broken.
 var cases = map[string]func(r *record, s *site, trouble bool) (broken bool, err error){
 	"two-answers": playTwoAnswers,
+	"removed":     playRemoved,
 }
 
 func main() {
--- a/review/standins-2/operator.go
+++ b/review/standins-2/operator.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -75,3 +76,18 @@
 	o.record.say("operator: %s sent again for %v: no clear answer, last status %d", what, limit, status)
 	return status
 }
+
+// read reads the desired state at one host after the other until one answers with 200, or the time has passed.
+func (o *operator) read(limit time.Duration) (string, bool) {
+	status := 0
+	for begin, i := time.Now(), 0; time.Since(begin) < limit; i++ {
+		var text []byte
+		if status, text = o.call(http.MethodGet, o.hosts[i%len(o.hosts)], nil); status == http.StatusOK {
+			o.record.say("operator: reads %s", strings.TrimSpace(string(text)))
+			return string(text), true
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	o.record.say("operator: no desired state could be read for %v, last status %d", limit, status)
+	return "", false
+}
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -104,7 +104,6 @@
 	ended         chan struct{}
 	starts        int
 	stopping      bool // the stand-in has ended the process
-	exits         []string
 }
 
 // addMachine adds a machine, which does not run yet. number tells its address among those of its kind.
@@ -190,9 +189,6 @@
 		result = err.Error()
 	}
 	m.mu.Lock()
-	if !m.stopping {
-		m.exits = append(m.exits, result)
-	}
 	m.site.record.say("platform: %s has ended: %s, asked to end: %t", m.name, result, m.stopping)
 	m.mu.Unlock()
 	close(ended)
@@ -248,3 +244,9 @@
 		_ = os.RemoveAll(s.folder)
 	}
 }
+
+// loseDisk empties the disk of a machine whose process has ended.
+func (m *machine) loseDisk() error {
+	m.site.record.say("platform: the disk of %s is lost", m.name)
+	return os.RemoveAll(m.dataFolder())
+}
--- a/review/standins-2/two_answers.go
+++ b/review/standins-2/two_answers.go
@@ -10,10 +10,16 @@
 )
 
 const (
-	reorderTime = 2000 * time.Millisecond // reorderMs of kp-lb
-	flowCount   = 40
-	lossCount   = 4 // flows of which the network loses one packet
-	pauseTime   = 4500 * time.Millisecond
+	reorderTime  = 2000 * time.Millisecond // reorderMs of kp-lb
+	flowCount    = 40                      // flows of each client host
+	troubleCount = 4                       // those of them whose first SYN+ACK is lost or late
+	pauseTime    = 4500 * time.Millisecond
+)
+
+// Numbers of the client hosts.
+const (
+	lossClient = iota // the network loses a packet
+	lateClient        // a packet comes late, and endpoints send each SYN+ACK to it only once
 )
 
 // startSmallSite starts three control hosts in three zones, two entry hosts and four endpoints in the first zone, and puts a first
@@ -59,27 +65,21 @@
 	return o, op, w, route, nil
 }
 
-// playTwoAnswers opens long flows through two entry hosts. The network loses the first SYN+ACK of a few of them, so that
-// a copy of the SYN reaches a second endpoint, and both answer. Then one entry host is restarted as planned work.
-func playTwoAnswers(r *record, s *site, trouble bool) (bool, error) {
+// playTwoAnswers opens long flows through two entry hosts. The first SYN+ACK of a few of them is lost or late, so that a copy of the
+// SYN reaches a second endpoint, and both answer. Then one entry host is restarted as planned work.
+func playTwoAnswers(r *record, s *site, withTrouble bool) (bool, error) {
 	o, _, w, route, err := startSmallSite(r, s)
 	if err != nil {
 		return false, err
 	}
-	h, err := newClientHost(r, o, s.address(clientKind, 0))
-	if err != nil {
-		return false, err
-	}
 	restarted := s.machines[3]
-	losses := 0
 	var flows []*flow
-	for i := range flowCount {
-		f := h.newFlow(uint16(20000+i), route)
-		if losses < lossCount && o.nodeOf(f.self, f.route) == restarted {
-			f.loseFirst = true
-			losses++
+	for client, what := range map[int]trouble{lossClient: losesFirst, lateClient: delaysFirst} {
+		h, err := newClientHost(r, o, s.address(clientKind, client))
+		if err != nil {
+			return false, err
 		}
-		flows = append(flows, f)
+		flows = append(flows, h.newFlows(route, restarted, what)...)
 	}
 	var all sync.WaitGroup
 	answered := make([]bool, len(flows)) // the second requests
@@ -87,18 +87,12 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
-			if !f.connect() {
-				r.say("client %s: the flow did not open", f.self)
-				return
-			}
-			f.request(fmt.Sprintf("q-%d-1", i))
-			time.Sleep(pauseTime)
-			answered[i] = f.request(fmt.Sprintf("q-%d-2", i)) != ""
+			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			answered[i] = f.askTwice(fmt.Sprintf("q-%d", i))
 		}()
 	}
-	time.Sleep(1500 * time.Millisecond)
-	if trouble {
+	time.Sleep(1800 * time.Millisecond)
+	if withTrouble {
 		restarted.end(syscall.SIGTERM)
 		time.Sleep(500 * time.Millisecond)
 		if err := restarted.start(); err != nil {
@@ -110,12 +104,40 @@
 	for i, f := range flows {
 		if why := w.flowBreak(f); why != "" {
 			broken = true
-			r.tell("FLOW broken: flow of %s, which lost a packet: %t, second request answered: %t: %s", f.self, f.loseFirst, answered[i], why)
+			r.tell("FLOW broken: %s, whose first SYN+ACK %s, second request answered: %t: %s", f.self, f.trouble, answered[i], why)
+		} else if !answered[i] {
+			r.say("second request of %s, whose first SYN+ACK %s: no answer", f.self, f.trouble)
 		}
 	}
 	return broken, nil
 }
 
+// newFlows returns flows to a route, of which a few that go through the given entry host have a trouble.
+func (h *clientHost) newFlows(route netip.AddrPort, through *machine, what trouble) []*flow {
+	var flows []*flow
+	troubled := 0
+	for i := range flowCount {
+		f := h.newFlow(uint16(20000+i), route)
+		if troubled < troubleCount && h.router.nodeOf(f.self, f.route) == through {
+			f.trouble = what
+			troubled++
+		}
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+// askTwice opens the flow and sends two requests with a pause between them. It reports whether the second one was answered.
+func (f *flow) askTwice(id string) bool {
+	if !f.connect() {
+		f.host.record.say("client %s: the flow did not open", f.self)
+		return false
+	}
+	f.request(id + "-1")
+	time.Sleep(pauseTime)
+	return f.request(id+"-2") != ""
+}
+
 // flowBreak returns how the rule FLOW is broken for a flow, or "". All endpoints live and are undisturbed.
 func (w *watch) flowBreak(f *flow) string {
 	w.mu.Lock()
