Review case 8: a route with an unknown service is acknowledged

Cause: the adapter reads "backend" only where a route has no "split", so an unknown service there isn't found. Change: the case with its claim.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(r *record, s *site, trouble bool) (broken bool, err error){
 	"two-answers": playTwoAnswers,
 	"removed":     playRemoved,
+	"unknown":     playUnknownService,
 }
 
 func main() {
