--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -243,16 +242,13 @@
 		e.mu.Lock()
 		ended, state := e.ended, e.state
 		e.seq++
-		body, _ := json.Marshal(map[string]any{ // a map of plain values
-			"backend": e.service, "address": e.addr.String(), "zone": e.zone, "version": "v1", "slots": 2, "state": state,
-			"coldRemainingMs": 0, "seq": e.seq, "born": e.born,
-		})
+		text := body("report.json.tmpl", reportBody{Service: e.service, Zone: e.zone, State: state, Address: e.addr, Seq: e.seq, Born: e.born})
 		e.mu.Unlock()
 		if ended {
 			return
 		}
 		for range e.controls {
-			if e.call(client, e.controls[host], body) {
+			if e.call(client, e.controls[host], text) {
 				break
 			}
 			host = (host + 1) % len(e.controls)
@@ -261,7 +257,7 @@
 }
 
 func (e *endpoint) call(client *http.Client, host string, body []byte) bool {
-	r, err := http.NewRequest(http.MethodPut, "http://"+host+"/cassiawood/instances/"+e.name, bytes.NewReader(body))
+	r, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/cassiawood/instances/%s", host, e.name), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- a/review/standins-2/operator.go
+++ b/review/standins-2/operator.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 )
@@ -22,29 +20,9 @@
 	return &operator{record: r, hosts: hosts, client: &http.Client{Timeout: time.Second}} // follows a 307 with the same body
 }
 
-// routeOf is a route as the operator writes it.
-func routeOf(name string, address netip.AddrPort, kind, service string) map[string]any {
-	return map[string]any{
-		"name": name, "host": address.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", address.Port()), "type": kind, "timeoutMs": 2000,
-		"targetLatencyMs": 200, "priority": 1, "backend": service, "maxAttempts": 2,
-	}
-}
-
-func desired(version int, routes []map[string]any, services ...string) []byte {
-	var backends []map[string]any
-	for _, name := range services {
-		backends = append(backends, map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
-	}
-	text, _ := json.Marshal(map[string]any{ // a map of plain values
-		"version": version, "routes": routes, "backends": backends,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	return text
-}
-
 // call sends a request to one host and returns the status, 0 without an answer, and the body.
 func (o *operator) call(method, host string, body []byte) (int, []byte) {
-	r, err := http.NewRequest(method, "http://"+host+"/cassiawood/config", bytes.NewReader(body))
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s/cassiawood/config", host), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/review/standins-2/removed.go
+++ b/review/standins-2/removed.go
@@ -19,16 +19,13 @@
 	if err != nil {
 		return false, err
 	}
-	text := func(version int) []byte {
-		return desired(version, []map[string]any{routeOf("desk", route, "unsafe", "order-desk")}, "order-desk")
-	}
 	successor := s.addMachine(controlKind, 3, zoneName(2))
 	if err := successor.start(); err != nil {
 		return false, err
 	}
 	time.Sleep(catchUpTime + time.Second)
 	op.hosts = append(op.hosts, s.controlAddress(3))
-	if status := op.put("version 2", text(2), 5*time.Second); status != 200 {
+	if status := op.put("version 2", oneService(2, route), 5*time.Second); status != 200 {
 		return false, errors.New("version 2 was not acknowledged")
 	}
 	removed, wiped := s.machines[2], s.machines[1]
@@ -46,7 +43,7 @@
 	op.hosts = []string{s.controlAddress(0), s.controlAddress(1), s.controlAddress(3)}
 	time.Sleep(catchUpTime + recoveryTime)
 	_, readable := op.read(readTime)
-	status := op.put("version 3", text(3), readTime)
+	status := op.put("version 3", oneService(3, route), readTime)
 	r.tell("desired state readable: %t; version 3 answered with %d", readable, status)
 	if !readable {
 		r.tell("CONFIG broken: version 2 was acknowledged, and it doesn't come when it is read at the end")
--- a/review/standins-2/router.go
+++ b/review/standins-2/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -35,7 +36,7 @@
 
 func (o *router) probe(i int) {
 	client := &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	url := "http://" + netip.AddrPortFrom(o.nodes[i].ip, readyPort).String() + "/cassiawood/ready"
+	url := fmt.Sprintf("http://%s/cassiawood/ready", netip.AddrPortFrom(o.nodes[i].ip, readyPort))
 	for ; ; time.Sleep(500 * time.Millisecond) {
 		ok := false
 		if response, err := client.Get(url); err == nil {
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -118,37 +117,26 @@
 
 func (m *machine) dataFolder() string { return filepath.Join(m.site.folder, m.name) }
 
-func (m *machine) settings(firstStart bool) string {
-	var b strings.Builder
-	line := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, format+"\n", args...) }
-	class, serves := "frontend", "frontend"
-	if m.disk {
-		class, serves = "core", "control_plane"
-	}
-	line("node = %q\nrole = %q\nmachineClass = %q\nserves = [%q]", m.name, m.name, class, serves)
-	line("ip = %q\nzone = %q\nregion = %q\ninternalPortRange = [%d,%d]", m.ip, m.zone, "region", linkPort, linkPort+15)
-	line("seeds = [%s]", `"`+strings.Join(m.site.seeds, `","`)+`"`)
-	line("firstStart = %t\ncountsAsLoss = %t\ndiscovery = %q\nentry = %q", firstStart, m.disk, "registration", "announce")
-	line("heartbeatIntervalMs = %d\ncontracts = [%s]", heartbeatInterval.Milliseconds(), `"base","drain","config","cost","recover","flows"`)
-	line("config_mode = %q\nhash = %q\nproxyMode = %q", "highest", "mod", "echo")
+func (m *machine) settings(firstStart bool) []byte {
+	values := struct {
+		Node, Serves, Class, Zone, DataFolder                             string
+		IP                                                                netip.Addr
+		FirstPort, LastPort, ControlPort, DatagramPort, ReadyPort, GraceS int
+		HeartbeatMs                                                       int64
+		Seeds, Zones                                                      []string
+		FirstStart, HasDisk                                               bool
+	}{
+		Node: m.name, Serves: "frontend", Class: "frontend", Zone: m.zone, DataFolder: m.dataFolder(), IP: m.ip, FirstPort: linkPort, LastPort: linkPort + 15,
+		ControlPort: controlPort, DatagramPort: datagramPort, ReadyPort: readyPort, GraceS: int(graceTime.Seconds()),
+		HeartbeatMs: heartbeatInterval.Milliseconds(), Seeds: m.site.seeds, FirstStart: firstStart, HasDisk: m.disk,
+	}
 	if m.disk {
-		line("dataDir = %q", m.dataFolder())
+		values.Serves, values.Class = "control_plane", "core"
 	}
-	line("[zones]")
 	for i := range 3 {
-		line("%s = %q", zoneName(i), "region")
+		values.Zones = append(values.Zones, zoneName(i))
 	}
-	line("[listen]")
-	if m.disk {
-		line("control = %q", netip.AddrPortFrom(m.ip, controlPort))
-	} else {
-		line("datagramAddr = %q\nreadinessAddr = %q", netip.AddrPortFrom(m.ip, datagramPort), netip.AddrPortFrom(m.ip, readyPort))
-	}
-	line("[limits]\ncpuShare = 0.48\ncores = 1\nmemoryMb = 280\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 128")
-	line("[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0")
-	line("[bounds]\nseedLagS = 3\nreuseAfterS = 2\nstableWindowMs = 4000\nackMs = 5000\ncatchUpS = 4\ndrainMs = 3000\ngraceS = 6")
-	line("lossSlackMs = 200\nconfigPropagationMs = 3000\ndowngradeSlackMs = 250\nstretchMaxMs = 12000\nrecoveryS = 12\nreorderMs = 2000\nflowMaxS = 60")
-	return b.String()
+	return body("settings.toml.tmpl", values)
 }
 
 // start writes the settings and starts the process.
@@ -161,7 +149,7 @@
 		}
 	}
 	file := filepath.Join(m.site.folder, m.name+".toml")
-	if err := os.WriteFile(file, []byte(m.settings(m.starts == 0 && m.site.isFirstStart(m))), 0o600); err != nil {
+	if err := os.WriteFile(file, m.settings(m.starts == 0 && m.site.isFirstStart(m)), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(m.site.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/standins-2/two_answers.go
+++ b/review/standins-2/two_answers.go
@@ -47,7 +47,7 @@
 	}
 	route := netip.AddrPortFrom(s.address(routeKind, 0), 443)
 	op := newOperator(r, s.seeds)
-	if status := op.put("version 1", desired(1, []map[string]any{routeOf("desk", route, "unsafe", "order-desk")}, "order-desk"), 20*time.Second); status != 200 {
+	if status := op.put("version 1", oneService(1, route), 20*time.Second); status != 200 {
 		return nil, nil, nil, none, fmt.Errorf("the first desired state was answered with %d", status)
 	}
 	w := newWatch()
@@ -65,6 +65,11 @@
 	return o, op, w, route, nil
 }
 
+// oneService returns a desired state whose route has one service.
+func oneService(version int, route netip.AddrPort) []byte {
+	return desiredBody{Version: version, Route: route, Service: "order-desk", Services: []string{"order-desk"}}.encode()
+}
+
 // playTwoAnswers opens long flows through two entry hosts. The first SYN+ACK of a few of them is lost or late, so that a copy of the
 // SYN reaches a second endpoint, and both answer. Then one entry host is restarted as planned work.
 func playTwoAnswers(r *record, s *site, withTrouble bool) (bool, error) {
--- a/review/standins-2/unknown.go
+++ b/review/standins-2/unknown.go
@@ -14,12 +14,14 @@
 	if err != nil {
 		return false, err
 	}
-	changed := routeOf("desk", route, "unsafe", "order-dsk")
-	changed["split"] = []map[string]any{{"backend": "order-desk", "weight": 90}, {"backend": "order-desk-new", "weight": 10}}
+	d := desiredBody{
+		Version: 2, Route: route, Service: "order-dsk", Services: []string{"order-desk", "order-desk-new"},
+		Split: []share{{"order-desk", 90}, {"order-desk-new", 10}},
+	}
 	if !withTrouble {
-		delete(changed, "backend")
+		d.Service = ""
 	}
-	text := desired(2, []map[string]any{changed}, "order-desk", "order-desk-new")
+	text := d.encode()
 	r.say("operator: sends %s", text)
 	status := op.put("version 2", text, 5*time.Second)
 	if status != http.StatusOK {
