--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -53,18 +53,6 @@
 	}
 }
 
-// trouble is what happens to the first SYN+ACK of a flow.
-type trouble int
-
-const (
-	noTrouble   trouble = iota
-	losesFirst          // it is lost
-	delaysFirst         // it comes late
-)
-
-// lateBy is how late a delayed SYN+ACK comes.
-const lateBy = 500 * time.Millisecond
-
 // flow is a flow at its client.
 type flow struct {
 	host       *clientHost
@@ -78,8 +66,8 @@
 	open       bool
 	reset      bool // a reset has arrived on the open flow
 	systemSent bool // that reset came from the system
-	trouble    trouble
-	troubled   bool // the trouble has come
+	losesFirst bool // the network loses the first SYN+ACK
+	lost       bool
 	acked      uint32
 	answers    chan string
 	opened     chan struct{}
@@ -102,12 +90,10 @@
 func (f *flow) receive(p *packet) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.trouble != noTrouble && !f.troubled && p.flags == flagSYN|flagACK {
-		f.troubled = true
-		f.host.record.say("network: the first SYN+ACK for %s, echo %08x, %s", f.self, p.echo, f.trouble)
-		if f.trouble == delaysFirst {
-			time.AfterFunc(lateBy, func() { f.receive(p) })
-		}
+	f.host.router.datagrams.Add(1)
+	if f.losesFirst && !f.lost && p.flags == flagSYN|flagACK {
+		f.lost = true
+		f.host.record.say("network: loses the first SYN+ACK for %s, echo %08x", f.self, p.echo)
 		return
 	}
 	if p.flags&flagRST != 0 {
@@ -196,8 +182,3 @@
 	defer f.mu.Unlock()
 	return f.reset
 }
-
-// String tells what happens.
-func (t trouble) String() string {
-	return [...]string{"arrives", "is lost", "comes 500 ms late"}[t]
-}
--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -18,6 +18,7 @@
 	lastRetry     = 1600 * time.Millisecond
 	maxRetries    = 8 // after these an endpoint gives up
 	workTime      = 39 * time.Millisecond
+	slotCount     = 2
 	reportTimeout = time.Second
 )
 
@@ -55,8 +56,7 @@
 	state         string
 	seq           int
 	ended         bool
-	// answersOnce holds the clients to which the endpoint sends a SYN+ACK only once for each SYN.
-	answersOnce map[netip.Addr]bool
+	slots         chan bool // holds a value for each request at work
 }
 
 // served is a flow at an endpoint.
@@ -75,11 +75,10 @@
 }
 
 func startEndpoint(r *record, w *watch, s *site, number int, service, zone string, controls []string) (*endpoint, error) {
-	answersOnce := map[netip.Addr]bool{s.address(clientKind, lateClient): true}
 	e := &endpoint{
 		record: r, watch: w, name: fmt.Sprintf("i-%08x", 0x7f3a9000+number*0x101), service: service, zone: zone, controls: controls, state: "ready",
 		addr: netip.AddrPortFrom(s.address(endpointKind, number), endpointPort), born: time.Now().UnixMilli(), flows: map[netip.AddrPort]*served{},
-		id: uint64(0x7f3a9000 + number*0x101), answersOnce: answersOnce,
+		id: uint64(0x7f3a9000 + number*0x101), slots: make(chan bool, slotCount),
 	}
 	var err error
 	if e.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.addr)); err != nil {
@@ -144,9 +143,7 @@
 		f = &served{peer: p.from, route: p.to, next: p.seq + 1, first: rand.Uint32(), echo: p.echo}
 		f.sent = f.first + 1
 		e.flows[p.from] = f
-		if !e.answersOnce[p.from.Addr()] {
-			e.retry(f)
-		}
+		e.retry(f)
 	}
 	e.record.say("endpoint %s: SYN of %s, copy %d", e.name, p.from, p.ack)
 	if !f.open {
@@ -180,7 +177,15 @@
 	e.watch.runs[id] = append(e.watch.runs[id], e.name)
 	e.watch.mu.Unlock()
 	e.record.say("endpoint %s: runs %s of %s", e.name, id, p.from)
-	time.AfterFunc(workTime, func() { e.answer(f, id) })
+	go e.work(f, id)
+}
+
+// work handles a request as soon as a slot is free.
+func (e *endpoint) work(f *served, id string) {
+	e.slots <- true
+	time.Sleep(workTime)
+	<-e.slots
+	e.answer(f, id)
 }
 
 func (e *endpoint) answer(f *served, id string) {
--- a/review/standins-2/router.go
+++ b/review/standins-2/router.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	mu     sync.Mutex
 	misses []int
 	ready  []bool
+	// datagrams counts those between clients and nodes, and from endpoints to clients.
+	datagrams atomic.Int64
 }
 
 func newRouter(r *record, s *site, nodes []*machine) (*router, error) {
@@ -93,6 +96,7 @@
 // send forwards a packet of a client.
 func (o *router) send(p *packet) *machine {
 	node := o.nodeOf(p.from, p.to)
+	o.datagrams.Add(1)
 	_, _ = o.socket.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(node.ip, datagramPort)) // a lost packet is sent again
 	return node
 }
--- a/review/standins-2/two_answers.go
+++ b/review/standins-2/two_answers.go
@@ -10,16 +10,14 @@
 )
 
 const (
-	reorderTime  = 2000 * time.Millisecond // reorderMs of kp-lb
-	flowCount    = 40                      // flows of each client host
-	troubleCount = 4                       // those of them whose first SYN+ACK is lost or late
-	pauseTime    = 4500 * time.Millisecond
-)
-
-// Numbers of the client hosts.
-const (
-	lossClient = iota // the network loses a packet
-	lateClient        // a packet comes late, and endpoints send each SYN+ACK to it only once
+	reorderTime = 2000 * time.Millisecond // reorderMs of kp-lb
+	maxLoss     = 0.001                   // share of the datagrams that kp-lb loses
+	busyCount   = 48                      // flows that ask all the time
+	busyPause   = 400 * time.Millisecond
+	busyTime    = 15 * time.Second
+	lossyCount  = 4 // flows of which the network loses a packet
+	lossyAfter  = 4 * time.Second
+	lossyPause  = 4500 * time.Millisecond
 )
 
 // startSmallSite starts three control hosts in three zones, two entry hosts and four endpoints in the first zone, and puts a first
@@ -70,31 +68,34 @@
 	return desiredBody{Version: version, Route: route, Service: "order-desk", Services: []string{"order-desk"}}.encode()
 }
 
-// playTwoAnswers opens long flows through two entry hosts. The first SYN+ACK of a few of them is lost or late, so that a copy of the
-// SYN reaches a second endpoint, and both answer. Then one entry host is restarted as planned work.
+// playTwoAnswers opens long flows through two entry hosts. The first SYN+ACK of four of them is lost, so that a copy of the SYN reaches a
+// second endpoint, and both answer. Then one entry host is restarted as planned work.
 func playTwoAnswers(r *record, s *site, withTrouble bool) (bool, error) {
 	o, _, w, route, err := startSmallSite(r, s)
 	if err != nil {
 		return false, err
 	}
+	h, err := newClientHost(r, o, s.address(clientKind, 0))
+	if err != nil {
+		return false, err
+	}
 	restarted := s.machines[3]
 	var flows []*flow
-	for client, what := range map[int]trouble{lossClient: losesFirst, lateClient: delaysFirst} {
-		h, err := newClientHost(r, o, s.address(clientKind, client))
-		if err != nil {
-			return false, err
-		}
-		flows = append(flows, h.newFlows(route, restarted, what)...)
-	}
 	var all sync.WaitGroup
-	answered := make([]bool, len(flows)) // the second requests
-	for i, f := range flows {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
-			answered[i] = f.askTwice(fmt.Sprintf("q-%d", i))
-		}()
+	for i := range busyCount {
+		f := h.newFlow(uint16(20000+i), route)
+		flows = append(flows, f)
+		all.Go(func() { f.askAlways(i) })
+	}
+	time.Sleep(lossyAfter)
+	for port := uint16(30000); len(flows) < busyCount+lossyCount; port++ {
+		f := h.newFlow(port, route)
+		if o.nodeOf(f.self, f.route) != restarted {
+			continue // only flows of this node meet the restart
+		}
+		f.losesFirst = true
+		flows = append(flows, f)
+		all.Go(func() { f.askTwice() })
 	}
 	time.Sleep(1800 * time.Millisecond)
 	if withTrouble {
@@ -105,42 +106,43 @@
 		}
 	}
 	all.Wait()
+	share := float64(lossyCount) / float64(o.datagrams.Load())
+	r.tell("%d of %d datagrams lost by the network, a share of %.5f", lossyCount, o.datagrams.Load(), share)
+	if share > maxLoss {
+		return false, errors.New("more datagrams were lost than the site loses")
+	}
 	broken := false
-	for i, f := range flows {
+	for _, f := range flows {
 		if why := w.flowBreak(f); why != "" {
 			broken = true
-			r.tell("FLOW broken: %s, whose first SYN+ACK %s, second request answered: %t: %s", f.self, f.trouble, answered[i], why)
-		} else if !answered[i] {
-			r.say("second request of %s, whose first SYN+ACK %s: no answer", f.self, f.trouble)
+			r.tell("FLOW broken: %s, of which the network lost a packet: %t: %s", f.self, f.losesFirst, why)
 		}
 	}
 	return broken, nil
 }
 
-// newFlows returns flows to a route, of which a few that go through the given entry host have a trouble.
-func (h *clientHost) newFlows(route netip.AddrPort, through *machine, what trouble) []*flow {
-	var flows []*flow
-	troubled := 0
-	for i := range flowCount {
-		f := h.newFlow(uint16(20000+i), route)
-		if troubled < troubleCount && h.router.nodeOf(f.self, f.route) == through {
-			f.trouble = what
-			troubled++
-		}
-		flows = append(flows, f)
+// askAlways opens the flow and sends a request again and again, with a pause after each.
+func (f *flow) askAlways(number int) {
+	time.Sleep(time.Duration(number) * busyPause / busyCount)
+	if !f.connect() {
+		f.host.record.say("client %s: the flow did not open", f.self)
+		return
+	}
+	for begin, i := time.Now(), 0; time.Since(begin) < busyTime; i++ {
+		f.request(fmt.Sprintf("q-%d-%d", f.self.Port(), i))
+		time.Sleep(busyPause)
 	}
-	return flows
 }
 
-// askTwice opens the flow and sends two requests with a pause between them. It reports whether the second one was answered.
-func (f *flow) askTwice(id string) bool {
+// askTwice opens the flow and sends two requests with a longer pause between them.
+func (f *flow) askTwice() {
 	if !f.connect() {
 		f.host.record.say("client %s: the flow did not open", f.self)
-		return false
+		return
 	}
-	f.request(id + "-1")
-	time.Sleep(pauseTime)
-	return f.request(id+"-2") != ""
+	f.request(fmt.Sprintf("q-%d-1", f.self.Port()))
+	time.Sleep(lossyPause)
+	f.request(fmt.Sprintf("q-%d-2", f.self.Port()))
 }
 
 // flowBreak returns how the rule FLOW is broken for a flow, or "". All endpoints live and are undisturbed.
