Send the first packet of a flow to one endpoint only

Cause: a copy of a first packet went to a second endpoint. When both answered, the caller returned the token that came last, and only the host that had sent both copies knew at which endpoint the flow was open. Ruled out: a loss of packets at the restart (the packets arrived, at the wrong endpoint), and tokens that differ between hosts.

Change: no copy goes to a second endpoint. It goes to the same one again if that one is known to live, if the path may have lost it, or if no better one is left; otherwise the caller is reset and opens another flow, which costs it no more time. A host that has not placed an earlier transmission resets the caller as well. There is one token for each flow then, and no host needs a memory.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -106,12 +106,10 @@
 
 // flow is the state that this host keeps for a flow.
 type flow struct {
-	key      flowKey
-	seq      uint32 // of the first packet
-	endpoint *endpoint
-	tried    []*endpoint // endpoints that got the first packet; nil if another host handled it
-	// triedBuffer avoids an allocation for tried: callers send a first packet at most three times.
-	triedBuffer    [3]*endpoint
+	key            flowKey
+	seq            uint32 // of the first packet
+	endpoint       *endpoint
+	transmissions  int // of the first packet, seen by this host; 0 if another host placed the flow
 	phase          phase
 	abandonChecked bool // the lack of packets after the first one has been evaluated
 	startedAt      time.Duration
@@ -391,11 +389,6 @@
 func (e *Engine) decideLater(now time.Duration, p Packet, r *route) Decision {
 	ep := e.byToken[p.Token]
 	f := e.flows[flowKey{p.Caller, p.Service}]
-	if f != nil && f.phase != pending && f.endpoint != ep && len(f.tried) > 1 && slices.Contains(f.tried, ep) {
-		// Two endpoints have answered transmissions of the first packet. The caller returns the
-		// token of the last answer, but the flow is open at the endpoint that it acknowledged first.
-		ep = f.endpoint
-	}
 	switch {
 	case ep == nil:
 		return Decision{Verdict: Drop, Reason: UnknownToken}
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -57,10 +57,14 @@
 
 // recordFailure records a packet that the endpoint has not answered.
 func (e *Engine) recordFailure(now time.Duration, ep *endpoint) {
-	v := &ep.health
-	if v.failures++; v.failures < suspectFailures {
-		return
+	if ep.health.failures++; ep.health.failures >= suspectFailures {
+		e.suspect(now, ep)
 	}
+}
+
+// suspect keeps new flows from the endpoint for a while, as long as others can take them.
+func (e *Engine) suspect(now time.Duration, ep *endpoint) {
+	v := &ep.health
 	if !v.isSuspect(now) {
 		e.suspicions = append(e.suspicions, Suspicion{Endpoint: ep.Name, Suspect: true, Failures: v.failures})
 	}
@@ -256,7 +260,7 @@
 // a caller that sends neither a retransmission nor a later packet got a reset.
 func (e *Engine) checkAbandoned(now time.Duration) {
 	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= abandonedAfter; f = f.next {
-		if !f.abandonChecked && len(f.tried) == 1 {
+		if !f.abandonChecked && f.transmissions == 1 {
 			e.recordFailure(now, f.endpoint)
 		}
 		f.abandonChecked = true
--- a/internal/affinity/place.go
+++ b/internal/affinity/place.go
@@ -18,13 +18,20 @@
 )
 
 // decideFirst handles a first packet, which places a new flow or is retransmitted.
+//
+// Only one endpoint ever gets the first packet of a flow. A second one could answer too; the caller would return the token of
+// the last answer, though its flow is open at the endpoint that it acknowledged first, and no packet tells a host without memory
+// of the flow which one that is. A flow moves to another endpoint only by a reset: its caller then opens another flow.
 func (e *Engine) decideFirst(now time.Duration, p Packet, r *route) Decision {
 	key := flowKey{p.Caller, p.Service}
 	f := e.flows[key]
-	if f != nil && f.tried != nil && f.seq == p.Seq {
+	if f != nil && f.transmissions > 0 && f.seq == p.Seq {
 		return e.decideRetransmission(now, p, f, r)
 	}
-	if p.Retransmits == 0 && e.uniform(p) < e.link.refusedShare(now) {
+	if p.Retransmits > 0 {
+		return decideUnplaced(now, p, f)
+	}
+	if e.uniform(p) < e.link.refusedShare(now) {
 		return refuse(p, LinkFull)
 	}
 	service := e.pickService(p, r)
@@ -35,39 +42,12 @@
 	if f != nil {
 		e.removeFlow(f)
 	}
-	f = &flow{key: key, seq: p.Seq, endpoint: ep, startedAt: now, lastPacketAt: now}
-	f.tried = append(f.triedBuffer[:0], ep)
+	f = &flow{key: key, seq: p.Seq, transmissions: 1, endpoint: ep, startedAt: now, lastPacketAt: now}
 	e.addFlow(f)
 	ep.countFirst(now)
 	return Decision{Verdict: Forward, Reason: Placed, Endpoint: &ep.Endpoint, Token: ep.token, Working: ep.working, OpenFlows: ep.openFlows}
 }
 
-// decideRetransmission handles a retransmitted first packet. A caller sends one when it has had no
-// answer for longer than any round trip takes: the endpoint has failed, is full or cannot be
-// reached, unless a packet was lost. So the packet goes to another endpoint.
-func (e *Engine) decideRetransmission(now time.Duration, p Packet, f *flow, r *route) Decision {
-	if f.phase == pending {
-		e.recordUnanswered(now, f.endpoint)
-		e.recordFailure(now, f.endpoint)
-		// The routes may have changed since the first packet.
-		service := e.pickService(p, r)
-		ep := e.choose(now, r, service, f.tried)
-		if ep == nil && service != f.endpoint.Service {
-			return refuse(p, NoEndpoint)
-		}
-		if ep != nil {
-			e.reassign(f, ep)
-			ep.countFirst(now)
-			f.tried = append(f.tried, ep)
-			return Decision{
-				Verdict: Forward, Reason: Moved, Endpoint: &ep.Endpoint, Token: ep.token, Age: now - f.startedAt,
-				Working: ep.working, OpenFlows: ep.openFlows,
-			}
-		}
-	}
-	return e.decideRepeated(now, p, f, r)
-}
-
 // pickService divides new flows over the services of a route by weight. It hashes the caller
 // and the sequence number, so that a retransmitted first packet gets the same service on
 // every host.
--- a/internal/affinity/speed.go
+++ b/internal/affinity/speed.go
@@ -40,11 +40,11 @@
 
 // measureHandshake records that an endpoint has answered the first packet of a flow.
 func (e *Engine) measureHandshake(now time.Duration, f *flow, ep *endpoint) {
-	if len(f.tried) == 0 || ep != f.tried[0] {
-		return // the first endpoint may have failed
+	if f.transmissions == 0 {
+		return
 	}
-	e.path.record(now, ep.ID, len(f.tried), len(f.tried)-1)
-	if len(f.tried) > 1 {
+	e.path.record(now, ep.ID, f.transmissions, f.transmissions-1)
+	if f.transmissions > 1 {
 		return // the answer may be to either transmission
 	}
 	took := now - f.startedAt
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -52,7 +52,8 @@
 // Reasons.
 const (
 	Placed       Reason = iota // a new flow
-	Moved                      // a retransmitted first packet, sent to an endpoint that has not got it yet
+	Unanswered                 // a retransmitted first packet whose caller is to open another flow, at another endpoint
+	NotPlaced                  // a retransmitted first packet of which this host has not placed an earlier transmission
 	Repeated                   // a retransmitted first packet, sent to the endpoint of the flow
 	ByToken                    // a later packet, routed by its token
 	NoState                    // no routes have been installed yet
@@ -71,7 +72,7 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"placed", "moved", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
+	"placed", "unanswered", "not placed", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
 	"endpoint gone", "stalled", "caller reset", "old state", "late copy", "cold limit", "link full",
 }
 
@@ -111,8 +112,8 @@
 	Token           uint32        // to write into the packet
 	Age             time.Duration // of a retransmitted first packet: since its first transmission; of a stalled flow: since that of the data
 	DataRetransmits int           // how often the caller has retransmitted the data of this packet
-	Working         int           // of a placed or moved flow: flows of the endpoint with work in progress, this one included
-	OpenFlows       int           // of a placed or moved flow: flows of the endpoint that this host remembers, this one included
+	Working         int           // of a placed flow: flows of the endpoint with work in progress, this one included
+	OpenFlows       int           // of a placed flow: flows of the endpoint that this host remembers, this one included
 }
 
 // FlowReset is a reset to send to the caller of an idle flow whose endpoint has ended.
