Give no vote to a standby that has not answered the leader

Cause: right after an election the leader assumes contact with all members, and a standby counts as caught up when it lacks at most 16 entries. With a short log a standby that had never answered met both conditions.

Change: a standby has caught up only if it has confirmed at least one entry to this leader.

Test: "gives no vote to a standby that has not answered the leader" failed before.

--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -152,7 +152,8 @@
 	}
 	var caughtUp []changelog.Member
 	for _, m := range v.Members {
-		isCaughtUp := v.MatchIndex[m.ID]+p.MaxLag >= v.CommitIndex
+		// Without an answer to this leader the contact is only assumed.
+		isCaughtUp := v.MatchIndex[m.ID] > 0 && v.MatchIndex[m.ID]+p.MaxLag >= v.CommitIndex
 		if !m.Voter && !v.Leaving[m.ID] && v.SinceContact[m.ID] <= p.MaxContactAge && isCaughtUp {
 			caughtUp = append(caughtUp, m)
 		}
--- a/internal/voters/voters_test.go
+++ b/internal/voters/voters_test.go
@@ -137,6 +137,18 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a vote that goes to a host that is gone: right after an election contact is only assumed, and while the log is short
+	// nobody is too far behind.
+	It("gives no vote to a standby that has not answered the leader", func() {
+		v := view(a, b, c, member(4, "d", false))
+		v.SinceContact[3], v.MatchIndex[4], v.CommitIndex = policy.ReplaceAfter, 0, 10
+		_, _, ok := policy.Next(v)
+		Expect(ok).To(BeFalse())
+		v.MatchIndex[4] = 1
+		_, _, ok = policy.Next(v)
+		Expect(ok).To(BeTrue())
+	})
+
 	// Guards against the loss of the majority together with one failure domain.
 	It("spreads the voters over failure domains", func() {
 		v := view(a, b, member(5, "a", false), member(6, "c", false))
