Keep the failure domains of hosts that have left the membership

Operators saw: an order to evacuate a failure domain was refused (400, "no failure domain has the name") while the domain's host came back without its disk. The call ends with that answer, so nobody repeats it.

Cause: where the settings list no domains, the known ones are those of members and endpoints. The old identity of the host leaves the membership before the new one joins, and a domain may have no other host and no endpoint.

Change: a control host remembers the domains of hosts that have left since its start. An order for a domain without hosts does no harm.

--- a/internal/cluster/evacuation.go
+++ b/internal/cluster/evacuation.go
@@ -167,6 +167,10 @@
 	for _, domain := range d.memberDomains {
 		domains = append(domains, domain)
 	}
+	// A host that comes back without its disk leaves the membership for a moment, and its domain may have no other.
+	for domain := range d.earlierDomains {
+		domains = append(domains, domain)
+	}
 	for _, m := range d.status.Members {
 		if m.Domain != "" {
 			domains = append(domains, m.Domain)
--- a/internal/cluster/evacuation_test.go
+++ b/internal/cluster/evacuation_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// Guards against an order that is refused as one for an unknown domain, in the moment between the removal of a host that has lost its disk and
+// its return: its domain had no other host and no endpoint.
+func TestOrdersWhileHostReturnsWithoutDisk(t *testing.T) {
+	RegisterTestingT(t)
+	for seed := range uint64(20) {
+		s := newSimulation(seed, 3)
+		Expect(s.run(3 * time.Second)).To(Succeed())
+		Expect(s.replace(s.hosts[1], false)).To(Succeed())
+		restart := s.fault("lost disk", s.hosts[2])
+		Expect(s.run(100 * time.Millisecond)).To(Succeed())
+		Expect(restart()).To(Succeed())
+		for end := s.now + 5*time.Second; s.now < end; {
+			for _, o := range s.orders {
+				if !o.inProgress() {
+					o.give(s.orderRNG.IntN(2) == 0)
+				}
+			}
+			Expect(s.run(simStep)).To(Succeed(), "seed %d", seed)
+		}
+	}
+}
+
 func (s *simulation) leader() *simHost {
 	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.state != nil && !h.cut && !h.frozen && h.state.isLeader() })
 	Expect(i).To(BeNumerically(">=", 0), "there is no leader")
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -68,6 +68,7 @@
 
 	joinRequests         map[uint64]pendingJoin   // by member ID
 	memberDomains        map[uint64]string        // failure domain by member ID, as reported by the hosts
+	earlierDomains       map[string]bool          // failure domains of hosts that have left the membership since the start
 	leavingSaidAt        map[uint64]time.Duration // by member ID, when the host last said that it is being stopped
 	proposedMembers      changelog.Membership     // last proposed membership change
 	membershipProposedAt time.Duration
@@ -198,13 +199,18 @@
 	if membershipDiffers(previous.Members, s.Members) {
 		d.log.Info("membership", "members", fmt.Sprint(s.Members), "committed", !s.MembershipChanging)
 		d.linksInbox.Offer(membersChanged{members: s.Members})
-		d.pruneMemberDomains()
 		for _, m := range previous.Members {
+			for _, domain := range []string{m.Domain, d.memberDomains[m.ID]} {
+				if _, isMember := s.Members.Find(m.ID); !isMember && domain != "" {
+					d.earlierDomains[domain] = true
+				}
+			}
 			if !slices.ContainsFunc(s.Members, func(o changelog.Member) bool { return o.Address == m.Address }) {
 				d.comparison.Forget(m.Address)
 				delete(d.evacuation.supporters, m.Address)
 			}
 		}
+		d.pruneMemberDomains()
 		d.publishControlHosts()
 	}
 	if previous.Role == changelog.Leader && s.Role != changelog.Leader {
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -41,7 +41,7 @@
 		metrics: newCounters(metrics.NewRegistry()), routes: routing.NewState(),
 		registry:    registry.New(registry.Limits{SilentAfter: 2600 * time.Millisecond, ForgetAfter: time.Minute}),
 		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{},
-		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), status: changelog.Status{LastContact: -1},
+		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, earlierDomains: map[string]bool{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), status: changelog.Status{LastContact: -1},
 		evacuation: evacuationState{supporters: map[string]bool{}},
 	}
 	return h
