Refuse a desired state whose route names an unknown service that it does not use

Cause: of a route with a split and a single service only the split was decoded, so the other name was never looked up. Evidence: the table entry "an unknown service beside a split" failed before.

Change: routing.Route.Unused holds the names that give no flows; Check looks them up like the others. The finding suggests the declared service that was probably meant; the search for it moved from settings to the package suggest.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"cassiawood/internal/suggest"
 )
 
 // Desired is a complete desired state. It must not be changed after Check.
@@ -28,6 +30,8 @@
 	Address netip.AddrPort
 	Timeout time.Duration // of one request
 	Shares  []Share
+	// Unused are services that the route names without giving them flows.
+	Unused []string
 	// Regions are those whose endpoints may serve the route; empty if all may.
 	Regions []string
 	// Idempotent is set if all requests of the route may run more than once, so that callers may
@@ -66,11 +70,14 @@
 		if r.Timeout <= 0 {
 			add(i, "needs a timeout above 0")
 		}
-		total := uint64(0)
+		total, names := uint64(0), slices.Clone(r.Unused)
 		for _, s := range r.Shares {
 			total += uint64(s.Weight)
-			if !slices.Contains(d.Services, s.Service) {
-				add(i, "names the service %q, which is not declared", s.Service)
+			names = append(names, s.Service)
+		}
+		for _, name := range names {
+			if !slices.Contains(d.Services, name) {
+				add(i, "names the service %q, which is not declared%s", name, d.suggestService(name))
 			}
 		}
 		if total == 0 {
@@ -80,6 +87,14 @@
 	return append(findings, d.checkColdStarts()...)
 }
 
+// suggestService returns a hint at the declared service that was probably meant, or "".
+func (d *Desired) suggestService(name string) string {
+	if meant := suggest.Closest(name, d.Services); meant != "" {
+		return fmt.Sprintf("; did you mean %q?", meant)
+	}
+	return ""
+}
+
 // Table is the part of the desired state that entry hosts need.
 type Table struct {
 	Version     uint64
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
+
+	"cassiawood/internal/suggest"
 )
 
 // decoder fills a struct from a hujson tree and collects a finding for each
@@ -108,7 +112,7 @@
 		field, known := fields[name]
 		switch {
 		case !known:
-			d.report(member.Name.StartOffset, settingPath, "there is no such setting", closestName(name, fields))
+			d.report(member.Name.StartOffset, settingPath, "there is no such setting", suggest.Closest(name, slices.Collect(maps.Keys(fields))))
 		case seenNames[name]:
 			d.report(member.Name.StartOffset, settingPath, "is given twice", "")
 		default:
