--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -288,8 +288,12 @@
 
 // Compact makes state, the application's state after the entry index, the new
 // snapshot and drops the entries that it covers, except for the last KeepEntries.
-// The entry must have been applied. Compact retains the slice.
+// The entry must have been applied. Compact retains the slice. It does nothing if the snapshot already covers the
+// entry: one of the leader may have been installed since the application encoded its state.
 func (n *Node) Compact(index uint64, state []byte) error {
+	if index <= n.log.snapshot.Index {
+		return nil
+	}
 	if err := n.log.compact(index, state, uint64(n.cfg.KeepEntries)); err != nil {
 		return err
 	}
