Let entry hosts leave a control host that applies changes late

Cause: a control host counted as up to date by the commit index in its memory, while the entries waited for the disk.

EdgeUpdate.behind tells the entry hosts at once; they turn to another control host in contact, or stay where there is none.

--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -57,6 +57,7 @@
 	evacuation    evacuationState
 	startedAt     time.Duration
 	status        changelog.Status
+	lag           applyLag
 	seeds         []string
 
 	subscribers          map[*ring.Ring[[]byte]]*subscriber
@@ -170,6 +171,7 @@
 	d.broadcastDemand()
 	d.shareDelays()
 	d.saveRegistry()
+	d.observeLag()
 	d.sendHeartbeats()
 	if contact := d.hasMajorityContact(); contact != d.loggedContact {
 		d.loggedContact = contact
@@ -186,6 +188,18 @@
 	return d.status.Leader != 0 && d.status.Commit >= d.status.LeaderCommit && d.status.LastContact >= 0 && d.now-d.status.LastContact <= maxContactAge
 }
 
+// isCurrent reports whether entry hosts may rely on this host: it is in contact with a majority and applies in time what that has committed.
+func (d *stateDuty) isCurrent() bool { return d.hasMajorityContact() && !d.lag.isBehind }
+
+// observeLag tells the entry hosts when this host begins or ceases to be behind.
+func (d *stateDuty) observeLag() {
+	if !d.lag.observe(d.now, d.appliedIndex, d.status.LeaderCommit) {
+		return
+	}
+	d.log.Warn("behind the majority", "behind", d.lag.isBehind, "applied", d.appliedIndex, "committed", d.status.LeaderCommit, "maxApplyMs", maxApplyTime.Milliseconds())
+	d.publish(&wirepb.EdgeUpdate{})
+}
+
 func (d *stateDuty) leaderAddress() string {
 	if m, ok := d.status.Members.Find(d.status.Leader); ok {
 		return m.Address
--- a/internal/cluster/subscribers.go
+++ b/internal/cluster/subscribers.go
@@ -60,8 +60,8 @@
 // failure of the whole site, so it is encoded once for many of them.
 func (d *stateDuty) currentFullState() []*frame {
 	f := &d.lastFullState
-	if f.frames == nil || d.now-f.madeAt > fullStateMaxAge || f.contact != d.hasMajorityContact() {
-		*f = encodedFullState{frames: d.fullState(), madeAt: d.now, contact: d.hasMajorityContact()}
+	if f.frames == nil || d.now-f.madeAt > fullStateMaxAge || f.contact != d.isCurrent() {
+		*f = encodedFullState{frames: d.fullState(), madeAt: d.now, contact: d.isCurrent()}
 	}
 	return f.frames
 }
@@ -127,7 +127,7 @@
 
 // newFrame sets the contact and version of an update and returns the frame to send.
 func (d *stateDuty) newFrame(u *wirepb.EdgeUpdate) *frame {
-	u.Contact, u.Version = d.hasMajorityContact(), d.routes.Desired().Version
+	u.Contact, u.Behind, u.Version = d.isCurrent(), d.lag.isBehind, d.routes.Desired().Version
 	return &frame{log: d.log, envelope: &wirepb.Envelope{Body: &wirepb.Envelope_EdgeUpdate{EdgeUpdate: u}}}
 }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -26,6 +26,8 @@
 	// maxContactAge is how long the current control host may be out of contact with a majority
 	// before another one is tried as well.
 	maxContactAge = time.Second
+	// behindRetryInterval is the time between attempts to find a control host that is not behind.
+	behindRetryInterval = 500 * time.Millisecond
 	// localRetryInterval is the time between attempts to return to a control host in the local
 	// failure domain.
 	localRetryInterval = 5 * time.Second
@@ -87,6 +89,7 @@
 	version       uint64        // of the desired state that the control host has, 0 if none
 	lastUpdate    time.Duration // last update from the control host; -1 before
 	stateComplete bool          // the control host has sent its full state
+	isBehind      bool          // the control host does not apply in time what a majority has committed
 	outbox        *ring.Ring[*wirepb.Envelope]
 }
 
@@ -150,7 +153,7 @@
 	return nil
 }
 
-// tick opens more connections if the current control host is missing, incomplete, out of contact
+// tick opens more connections if the current control host is missing, incomplete, behind, out of contact
 // or in another failure domain.
 func (d *followDuty) tick() {
 	switch {
@@ -160,6 +163,11 @@
 		d.connect(false)
 		d.connect(false)
 	case len(d.connections) > 1:
+	case d.current.isBehind:
+		if d.now-d.latestAttemptAt() > behindRetryInterval {
+			d.connect(false)
+			d.connect(false)
+		}
 	case d.now-d.current.lastContact > maxContactAge && d.now-d.current.startedAt > maxContactAge:
 		if d.now-d.latestAttemptAt() > maxContactAge {
 			d.connect(false)
@@ -306,7 +314,7 @@
 	if e.update.GetContact() {
 		e.from.lastContact = d.now
 	}
-	e.from.version = e.update.GetVersion()
+	e.from.version, e.from.isBehind = e.update.GetVersion(), e.update.GetBehind()
 	if e.update.GetDomain() != "" {
 		d.domains[e.from.address] = e.update.GetDomain()
 	}
@@ -327,6 +335,9 @@
 			}
 		}
 	}
+	if d.current.isBehind {
+		d.tick() // looks for another one at once
+	}
 	_, err := d.engineInbox.Put(stateUpdated{update: e.update})
 	return err
 }
@@ -361,7 +372,7 @@
 	if has, had := e.update.GetVersion() > 0, d.current.version > 0; has != had {
 		return has
 	}
-	lost := d.now-d.current.lastContact > maxContactAge
+	lost := d.current.isBehind || d.now-d.current.lastContact > maxContactAge
 	if e.update.GetContact() != !lost {
 		return e.update.GetContact()
 	}
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -120,6 +120,34 @@
 		Expect(d.current.address).To(Equal(address2))
 	})
 
+	// Guards against an entry host that stays with the old routes of a control host whose disk hangs.
+	It("switches at once from a control host that is behind to one in contact", func() {
+		d, now := newFollowDuty(address1, address2)
+		Expect(d.handle(followTick{})).To(Succeed())
+		d.receive(address1, &wirepb.EdgeUpdate{LastPart: true, Contact: true, Version: 5, Domain: "a"})
+		if c := d.connectionTo(address2); c != nil {
+			d.close(c)
+		}
+		*now += time.Second
+		d.receive(address1, &wirepb.EdgeUpdate{Behind: true, Version: 5})
+		d.receive(address2, &wirepb.EdgeUpdate{Contact: true, Version: 5})
+		Expect(d.current.address).To(Equal(address2))
+	})
+
+	// Guards against leaving one that is behind for one that is no better.
+	It("stays with a control host that is behind when no other is in contact", func() {
+		d, now := newFollowDuty(address1, address2)
+		Expect(d.handle(followTick{})).To(Succeed())
+		d.receive(address1, &wirepb.EdgeUpdate{LastPart: true, Contact: true, Version: 5, Domain: "a"})
+		if c := d.connectionTo(address2); c != nil {
+			d.close(c)
+		}
+		*now += time.Second
+		d.receive(address1, &wirepb.EdgeUpdate{Behind: true, Version: 5})
+		d.receive(address2, &wirepb.EdgeUpdate{Behind: true, Version: 6})
+		Expect(d.current.address).To(Equal(address1))
+	})
+
 	// Guards against leaving the current control host when none has contact.
 	It("stays with its control host when another one has no contact either", func() {
 		d, now := newFollowDuty(address1, address2)
