Spread the votes over failure domains, and take 2f+3 where half would be in one

Since 2f+2 hosts vote, a domain could have half of the votes for good.

Cause: the policy looked at domains only when it gave or took a vote for another reason, and the number of votes did not depend on them.

A vote moves to a domain that has at least two fewer, in two steps, while all voters are in contact.

--- a/internal/voters/voters.go
+++ b/internal/voters/voters.go
@@ -11,8 +11,8 @@
 
 // Policy holds the target size and the time limits of the membership.
 type Policy struct {
-	// TargetVoters is the number of voters that the membership should have, 2f+1 to bear f lost disks. Where it is 3 or more, one further
-	// member that has caught up gets a vote.
+	// TargetVoters is the number of voters that the membership should have at least, 2f+1 to bear f lost disks. Where it is 3 or more, up to two
+	// further members that have caught up get votes.
 	TargetVoters  int
 	ReplaceAfter  time.Duration // a voter that has been silent for this long loses its vote if enough are left
 	RemoveAfter   time.Duration // a standby that has been silent for this long is removed
@@ -42,22 +42,27 @@
 //
 // A standby that has caught up gets the vote 2f+2 at once, not only when another host is missing. A host may be removed
 // without notice as soon as its successor has caught up, and f disks may be lost in the same moment. Of 2f+2 voters f+1 are left then:
-// each entry that was committed is on one of them, and they are a quorum once they know of a lost disk (changelog).
+// each entry that was committed is on one of them, and they are a quorum once they know of a lost disk (changelog). See wantedVoters for
+// the number.
 func (p Policy) Next(v View) (changelog.Membership, string, bool) {
 	if next, reason, ok := p.join(v); ok {
 		return next, reason, ok
 	}
-	voterCount := v.Members.VoterCount()
+	voterCount, wanted := v.Members.VoterCount(), p.wantedVoters(v)
 	if standby, ok := p.bestStandby(v); ok {
+		spreads := p.spreads(v, standby)
 		standby.Voter = true
-		if voterCount < p.maxVoters() {
+		if voterCount < wanted {
 			return v.Members.With(standby), "a standby has caught up", true
 		}
 		if reason, ok := p.replacementReason(v); ok && voterCount == p.TargetVoters {
 			return v.Members.With(standby), reason, true
 		}
+		if voterCount == wanted && spreads {
+			return v.Members.With(standby), "a vote moves to a failure domain with fewer", true
+		}
 	}
-	if m, reason, ok := p.voterToRelieve(v); ok {
+	if m, reason, ok := p.voterToRelieve(v, wanted); ok {
 		m.Voter = false
 		return v.Members.With(m), reason, true
 	}
@@ -76,17 +81,9 @@
 	return nil, "", false
 }
 
-// maxVoters returns the highest number of voters. Two voters would bear no more than one, and stop when either of them is down.
-func (p Policy) maxVoters() int {
-	if p.TargetVoters < 3 {
-		return p.TargetVoters
-	}
-	return p.TargetVoters + 1
-}
-
 // voterToRelieve returns a voter that should lose its vote, and why, or false if all should keep theirs. With more voters than the target, one
 // that is being stopped or silent is of less use than no vote, as it counts for the number that has to agree.
-func (p Policy) voterToRelieve(v View) (changelog.Member, string, bool) {
+func (p Policy) voterToRelieve(v View, wanted int) (changelog.Member, string, bool) {
 	voterCount := v.Members.VoterCount()
 	if voterCount <= p.TargetVoters {
 		return changelog.Member{}, "", false
@@ -97,7 +94,7 @@
 		return m, "a voter is being stopped", true
 	case m.ID != v.Self && v.SinceContact[m.ID] >= p.ReplaceAfter:
 		return m, "a voter is silent", true
-	case voterCount > p.maxVoters():
+	case voterCount > wanted:
 		return m, "there is a voter too many", true
 	}
 	return changelog.Member{}, "", false
@@ -134,7 +131,7 @@
 		if !m.Voter {
 			continue
 		}
-		votersIn[m.Domain]++
+		votersIn[v.domainOf(m)]++
 		if m.ID != v.Self || v.Leaving[m.ID] {
 			others = append(others, m)
 		}
@@ -154,7 +151,7 @@
 	return slices.MaxFunc(others, func(a, b changelog.Member) int {
 		return cmp.Or(
 			cmp.Compare(leaving(a), leaving(b)), cmp.Compare(silence(a), silence(b)),
-			cmp.Compare(votersIn[a.Domain], votersIn[b.Domain]), cmp.Compare(a.ID, b.ID),
+			cmp.Compare(votersIn[v.domainOf(a)], votersIn[v.domainOf(b)]), cmp.Compare(a.ID, b.ID),
 		)
 	})
 }
@@ -183,16 +180,13 @@
 // failure domain with the fewest voters that will stay.
 func (p Policy) bestStandby(v View) (changelog.Member, bool) {
 	votersIn := map[string]int{}
-	for _, m := range v.Members {
-		if m.Voter && v.SinceContact[m.ID] < p.ReplaceAfter && !v.Leaving[m.ID] {
-			votersIn[m.Domain]++
-		}
-	}
 	var caughtUp []changelog.Member
 	for _, m := range v.Members {
-		// Without an answer to this leader the contact is only assumed.
-		isCaughtUp := v.MatchIndex[m.ID] > 0 && v.MatchIndex[m.ID]+p.MaxLag >= v.CommitIndex
-		if !m.Voter && !v.Leaving[m.ID] && v.SinceContact[m.ID] <= p.MaxContactAge && isCaughtUp {
+		switch {
+		case !p.canVote(v, m):
+		case m.Voter:
+			votersIn[v.domainOf(m)]++
+		default:
 			caughtUp = append(caughtUp, m)
 		}
 	}
@@ -200,6 +194,6 @@
 		return changelog.Member{}, false
 	}
 	return slices.MinFunc(caughtUp, func(a, b changelog.Member) int {
-		return cmp.Or(cmp.Compare(votersIn[a.Domain], votersIn[b.Domain]), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(votersIn[v.domainOf(a)], votersIn[v.domainOf(b)]), cmp.Compare(a.ID, b.ID))
 	}), true
 }
--- a/internal/voters/voters_test.go
+++ b/internal/voters/voters_test.go
@@ -185,6 +185,61 @@
 		Expect(m.Voter).To(BeTrue())
 	})
 
+	// Guards against votes that stay together after hosts have been replaced, or from the first start: the loss of one failure domain would end the
+	// majority. They move only while all hosts are in contact, and never leave fewer of them.
+	It("spreads the votes again, one at a time", func() {
+		e, f := member(5, "d", false), member(6, "a", false)
+		v := view(a, member(2, "a", true), c, member(4, "a", true), e, f)
+		v.SinceContact[5] = policy.MaxContactAge + 1
+		_, _, ok := policy.Next(v)
+		Expect(ok).To(BeFalse(), "a host that is out of contact takes no vote")
+		v.SinceContact[5] = 0
+		v.SinceContact[3] = policy.MaxContactAge + 1
+		_, _, ok = policy.Next(v)
+		Expect(ok).To(BeFalse(), "it is not calm")
+		v.SinceContact[3] = 0
+		domains := func() map[string]int {
+			in := map[string]int{}
+			for _, m := range v.Members {
+				if m.Voter {
+					in[m.Domain]++
+				}
+			}
+			return in
+		}
+		v.Members, _, ok = policy.Next(v)
+		Expect(ok).To(BeTrue())
+		Expect(v.Members.VoterCount()).To(Equal(5))
+		for ok {
+			var next changelog.Membership
+			if next, _, ok = policy.Next(v); ok {
+				v.Members = next
+			}
+		}
+		Expect(domains()["a"]).To(BeNumerically("<=", 2))
+		Expect(domains()).To(HaveLen(3))
+	})
+
+	// Guards against a failure domain whose loss ends the majority because one vote more than 2f+1 gave it half of the votes.
+	DescribeTable("takes as many votes as the loss of a failure domain allows", func(domains string, want int) {
+		v := view()
+		for i, domain := range domains {
+			v.Members = v.Members.With(member(uint64(i+1), string(domain), i < 3))
+			v.MatchIndex[uint64(i+1)] = 100
+		}
+		for range 20 {
+			next, _, ok := policy.Next(v)
+			if !ok {
+				break
+			}
+			v.Members = next
+		}
+		Expect(v.Members.VoterCount()).To(Equal(want))
+	},
+		Entry("no host more", "abc", 3), Entry("four domains", "abcd", 4), Entry("a successor in one of three domains", "abca", 4),
+		Entry("two hosts in each of three domains", "aabbcc", 5), Entry("two in two of three", "aabbc", 5), Entry("many in four", "aabbccdd", 4),
+	)
+
 	// Guards against a membership that grows with each host that is replaced.
 	It("removes a standby that stays silent", func() {
 		v := view(a, b, c, member(4, "d", false))
