Draw no conclusions about endpoints from packets that waited during a pause

Callers saw: after an entry host had stood still for half a second or more, open flows of endpoints that served were reset, stalled ones and idle ones with them, and endpoints were taken for failed.

Cause: data that was sent before the pause counted as retransmitted twice and as old, because its retransmissions had waited in the socket, and the acknowledgements of the answers came behind them.

Change: the engine duty tells the engine when no event has come for 300 ms (three ticks). Transmissions from before count neither as retransmitted nor as old after that: in the progress of data, for first packets and their copies, and for callers that seem to have gone away.

Test: "keeps flows whose retransmissions have waited while this host was paused" failed before (reset and suspicion).

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -54,6 +54,8 @@
 	link            linkLoad
 	seed            uint64 // of random choices
 
+	resumedAt time.Duration // end of the latest pause of this host; 0 before
+
 	overdue           []*endpoint // with an overdue request
 	overdueFoundAt    time.Duration
 	delaysEvaluatedAt time.Duration
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -90,7 +90,7 @@
 	retransmits := 0
 	if f == nil {
 		f = &flow{key: flowKey{p.Caller, p.Service}, endpoint: ep, phase: idle, startedAt: now, lastPacketAt: now, progress: progress{ack: p.Ack}}
-		f.progress.update(now, p)
+		f.progress.update(now, e.resumedAt, p)
 		e.addFlow(f)
 		e.updatePhase(f)
 	} else {
@@ -111,7 +111,7 @@
 		e.reassign(f, ep)
 	}
 	opened, before := f.phase == pending, f.progress
-	answered, retransmitted := f.progress.update(now, p)
+	answered, retransmitted := f.progress.update(now, e.resumedAt, p)
 	if opened || answered {
 		e.recordAnswer(now, ep)
 	}
@@ -260,7 +260,7 @@
 // a caller that sends neither a retransmission nor a later packet got a reset.
 func (e *Engine) checkAbandoned(now time.Duration) {
 	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= abandonedAfter; f = f.next {
-		if !f.abandonChecked && f.transmissions == 1 {
+		if !f.abandonChecked && f.transmissions == 1 && f.startedAt >= e.resumedAt {
 			e.recordFailure(now, f.endpoint)
 		}
 		f.abandonChecked = true
--- a/internal/affinity/retransmission.go
+++ b/internal/affinity/retransmission.go
@@ -71,7 +71,7 @@
 func (e *Engine) decideRetransmission(now time.Duration, p Packet, f *flow, r *route) Decision {
 	ep := f.endpoint
 	f.transmissions++
-	age := now - f.startedAt
+	age := now - max(f.startedAt, e.resumedAt)
 	if f.phase == pending && age >= minAnswerTime {
 		e.recordUnanswered(now, ep)
 		e.recordFailure(now, ep)
--- a/internal/affinity/stall.go
+++ b/internal/affinity/stall.go
@@ -23,15 +23,16 @@
 }
 
 // update processes the next packet of the caller. It reports whether the packet acknowledges
-// an answer of the endpoint, and whether it retransmits data.
-func (g *progress) update(now time.Duration, p Packet) (answered, retransmitted bool) {
+// an answer of the endpoint, and whether it retransmits data. Transmissions before the end of a pause of this host, resumedAt, do not count: what
+// the endpoint has answered to them may be waiting as well.
+func (g *progress) update(now, resumedAt time.Duration, p Packet) (answered, retransmitted bool) {
 	if p.Ack != g.ack {
 		g.ack, g.unanswered, answered = p.Ack, false, true
 	}
 	if p.Length == 0 {
 		return answered, false
 	}
-	if g.unanswered && p.Seq == g.seq {
+	if g.unanswered && p.Seq == g.seq && g.lastSentAt >= resumedAt && (resumedAt == 0 || now-resumedAt >= minAnswerTime) {
 		g.retransmits++
 		g.lastSentAt = now
 		return answered, true
--- a/internal/affinity/stall_test.go
+++ b/internal/affinity/stall_test.go
@@ -51,6 +51,29 @@
 		Expect(e.FlowCount()).To(BeZero())
 	})
 
+	// Guards against resets of flows whose endpoint serves, after a pause of this host: the data had been sent before it, and its
+	// retransmissions waited in the socket, before the acknowledgements of the answers.
+	It("keeps flows whose retransmissions have waited while this host was paused", func() {
+		e := newIdempotentEngine()
+		const resumed = 1800 * time.Millisecond
+		for port := 1; port <= 5; port++ {
+			e.Decide(0, dataPacket(sheet, port, affinity.Token(11), 101, 5))
+		}
+		first := e.Decide(0, firstPacket(sheet, callerAt(9), 0))
+		e.Resume(resumed)
+		for range 3 {
+			for port := 1; port <= 5; port++ {
+				Expect(e.Decide(resumed, dataPacket(sheet, port, affinity.Token(11), 101, 5)).Verdict).To(Equal(affinity.Forward))
+			}
+		}
+		e.Tick(resumed)
+		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(e.TakeSuspicions()).To(BeEmpty())
+		got := e.Decide(resumed, firstPacket(sheet, callerAt(9), 1))
+		Expect(got.Reason).To(Equal(affinity.Repeated))
+		Expect(got.Endpoint.ID).To(Equal(first.Endpoint.ID))
+	})
+
 	// Guards against the reset of a flow of a working endpoint after three packets of the flow were
 	// lost, which happened twice in some 180 days of gwymon-lb.
 	It("keeps a flow when it is the only stalled one of its endpoint", func() {
--- a/internal/edge/pause.go
+++ b/internal/edge/pause.go
@@ -6,6 +6,8 @@
 	// pauseLimit is the time without any event, the ticks of the clock included, from which the process
 	// counts as paused. Control hosts give up a connection that is silent for as long.
 	pauseLimit = time.Second
+	// shortPause is the time without any event from which packets that have waited together say nothing about endpoints.
+	shortPause = 3 * tickInterval
 	// afterPauseWait is how long new flows wait for a state from after the pause. The host then serves
 	// with the one that it has, since its failure domain may be cut off.
 	afterPauseWait = 500 * time.Millisecond
@@ -53,6 +55,9 @@
 		return
 	}
 	held := d.pause.holds
+	if d.pause.lastEventAt > 0 && d.now-d.pause.lastEventAt >= shortPause {
+		d.engine.Resume(d.now)
+	}
 	if paused := d.pause.observe(d.now); paused > 0 {
 		d.log.Warn("process was paused, new flows wait for the present state", "pauseMs", paused.Milliseconds(), "version", d.engine.Version())
 		d.followInbox.Offer(pauseEnded{})
