Store that a change of the membership is committed

Operators would have seen: all control hosts lost power at the moment when one was removed without notice and another one lost its disk, and nothing could be changed any more, for good.

Cause: a commit index is stored only with other writes. After the restart no host knew that the vote of the successor had been committed, so elections needed a quorum of the membership before as well, and two of its three hosts were gone.

Change: a commit index that passes a change of the membership is stored at once. That is one sync more for each change.

--- a/internal/changelog/membership_test.go
+++ b/internal/changelog/membership_test.go
@@ -287,4 +287,20 @@
 		Expect(s.ID).NotTo(Equal(earlier))
 		Expect(s.MemberContact[earlier]).To(BeNumerically("<=", ended))
 	})
+
+	// Guards against members that need a quorum of an earlier membership for good: all had lost power after a change that was committed, nobody had
+	// stored that it was, and hosts of the earlier membership were gone.
+	It("stores that a membership is committed", func() {
+		g := newGroup(2, 1, 2, 3)
+		g.start(4, nil)
+		for _, voter := range []bool{false, true} {
+			g.changeMembership(func(m changelog.Membership) changelog.Membership {
+				return m.With(changelog.Member{ID: 4, Voter: voter})
+			})
+		}
+		g.run(time.Second)
+		for id, d := range g.disks {
+			Expect(d.hardState.Commit).To(BeNumerically(">=", d.entries[len(d.entries)-1].Index), "member %d", id)
+		}
+	})
 })
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -232,10 +232,14 @@
 		n.log.submitted < n.log.lastIndex() || n.log.applied < n.log.commit || n.hardStateChanged() || len(n.confirmedReads) > 0)
 }
 
-// hardStateChanged reports whether the hard state has to be stored. It ignores
-// Commit, whose change alone needs no sync.
+// hardStateChanged reports whether the hard state has to be stored. A change of
+// Commit alone needs no sync, unless it commits a membership: a member that does not know that after a
+// restart needs a quorum of the membership before as well, whose members may be gone by then.
 func (n *Node) hardStateChanged() bool {
 	stored := n.storedHardState
+	if n.cfg.Dynamic && stored.Commit < n.log.membership().index && n.log.membership().index <= n.hardState.Commit {
+		return true
+	}
 	stored.Commit = n.hardState.Commit
 	return stored != n.hardState
 }
