Let one of two members that start a pre-vote at the same moment give way

Operators saw: now and then no leader for several seconds, and changes and orders that waited (docs/platform.md names an election that takes longer after a split vote).

Cause: two members whose timeouts end within a round trip grant each other's pre-vote, both start an election and divide the votes; where all that are left have to agree, no other outcome is possible.

Change: a member that is asked during its own pre-vote gives it up for a better log, or for an equal one and a lower ID, at most once in two election timeouts. A pre-vote binds nobody, so safety does not depend on it.

--- a/internal/changelog/election.go
+++ b/internal/changelog/election.go
@@ -87,9 +87,26 @@
 		n.send(Message{Kind: KindPreVoteReply, To: m.From, Reject: true, Context: m.Context})
 		return
 	}
+	if n.role == PreCandidate {
+		n.yieldTo(m)
+	}
 	n.send(Message{Kind: KindPreVoteReply, To: m.From, Term: m.Term, Context: m.Context})
 }
 
+// yieldTo gives up this member's own pre-vote for that of a member with a better log, or with an equal one and a lower ID. Two members whose timeouts
+// end within a round trip would otherwise both get their pre-votes and divide the votes, again and again where all have to
+// agree. A member yields at most once in two election timeouts: the other one may not reach a quorum.
+func (n *Node) yieldTo(m Message) {
+	last := n.log.last()
+	isEqual := m.LogTerm == last.term && m.Index == last.index
+	if isEqual && m.From > n.cfg.ID || n.yieldedAt > 0 && n.now-n.yieldedAt < 2*n.cfg.ElectionTimeoutMax {
+		return
+	}
+	n.yieldedAt = n.now
+	n.becomeFollower(n.hardState.Term, 0)
+	n.resetElectionDeadline()
+}
+
 func (n *Node) handlePreVoteReply(m Message) {
 	if m.Reject {
 		if m.Term > n.hardState.Term {
--- a/internal/changelog/membership_test.go
+++ b/internal/changelog/membership_test.go
@@ -303,4 +303,33 @@
 			Expect(d.hardState.Commit).To(BeNumerically(">=", d.entries[len(d.entries)-1].Index), "member %d", id)
 		}
 	})
+
+	// Guards against a group without a leader for seconds: two members start their pre-votes at the same moment, and each one gets that of the other.
+	It("elects one of two members that start at the same moment", func() {
+		initial := changelog.Membership{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+		var nodes []*changelog.Node
+		for id := range uint64(2) {
+			n, err := changelog.New(changelog.Config{ID: id + 1, Dynamic: true, InitialMembers: initial}, changelog.HardState{}, changelog.Snapshot{}, nil)
+			Expect(err).NotTo(HaveOccurred())
+			n.Tick(time.Hour)
+			n.Tick(time.Hour + time.Second) // its election timeout has passed
+			nodes = append(nodes, n)
+		}
+		for range 6 { // round trips
+			var sent []changelog.Message
+			for _, n := range nodes {
+				for n.HasReady() {
+					sent = append(sent, n.Ready().Messages...)
+					n.Advance()
+				}
+			}
+			for _, m := range sent {
+				if m.To <= 2 {
+					nodes[m.To-1].Step(m)
+				}
+			}
+		}
+		Expect(nodes[0].Status().Role).To(Equal(changelog.Leader))
+		Expect(nodes[1].Status().Leader).To(BeEquivalentTo(1))
+	})
 })
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -38,6 +38,7 @@
 	lastLeader       uint64        // that leader
 	electionDeadline time.Duration
 	voteContext      uint64          // Context of the current vote requests
+	yieldedAt        time.Duration   // when this member last gave up its pre-vote for that of another one; 0 if never
 	votes            map[uint64]bool // members that granted the current vote request
 
 	progress       map[uint64]*progress // leader only
