Add drawn schedules of the control hosts without exceptions

Disks that hang, also the leader's, power that all hosts lose at once, hosts that join during an election and storms of changes, beside removals without notice and the faults of the earlier schedules, at any distance.

--- a/internal/affinity/retransmission.go
+++ b/internal/affinity/retransmission.go
@@ -41,11 +41,9 @@
 	Copies uint32
 }
 
-// decide returns what to do with the copy. Only one endpoint ever gets the first packet of a flow. A second one could answer too; the
-// caller would return the token of the last answer, though its flow is open at the endpoint that it acknowledged first, and
-// nothing in its packets tells a host without memory of the flow which one that is. A flow goes to another endpoint by a reset: its
-// caller opens another flow at once, as it does not when nothing answers. A reset that meets an answer on its way is ignored,
-// as its sequence number is none of the open flow.
+// decide returns what to do with the copy: it goes to the endpoint of the flow again, or the caller is reset and opens another flow, which may
+// get another endpoint (see decideFirst). A caller ignores a reset that crosses an answer, because its sequence number is not in the window of the
+// flow that has opened.
 func (c copyEvidence) decide() (Verdict, Reason) {
 	switch {
 	case c.IsOpen && (c.IsBarred || c.IsHeldBack):
--- a/internal/cluster/schedule_test.go
+++ b/internal/cluster/schedule_test.go
@@ -76,7 +76,7 @@
 
 // lost reports whether a host counts as lost: only then may no other one be lost.
 func (h *simHost) lost() bool {
-	return !h.removed && (h.state == nil || h.frozen || h.cut || h.stoppingSince != 0 || h.s.now-h.startedAt < simCatchUp && h.startedAt > time.Hour)
+	return !h.removed && (h.state == nil || h.frozen || h.cut || h.hung || h.stoppingSince != 0 || h.s.now-h.startedAt < simCatchUp && h.startedAt > time.Hour)
 }
 
 // fault begins a fault at a host and returns a function that ends it.
@@ -110,6 +110,12 @@
 	case "cut":
 		h.cut = true
 		return func() error { h.cut, h.startedAt = false, s.now; return nil }
+	case "outage": // of all hosts; no earlier build runs afterwards
+		h.end(false)
+		return func() error { s.note("%s starts", h.address); h.start(); return nil }
+	case "hang":
+		h.hung = true
+		return func() error { h.hung, h.startedAt = false, s.now; return nil }
 	case "stop":
 		h.stoppingSince = s.now
 		return func() error {
@@ -221,7 +227,7 @@
 					return err
 				}
 			}
-			if err := errors.Join(s.checkRunning(), s.giveOrders()); err != nil {
+			if err := errors.Join(s.checkRunning(), s.giveOrders(), s.checkDurable()); err != nil {
 				return err
 			}
 		}
@@ -249,6 +255,26 @@
 				e.running, e.endpoint.StartedAtMs, e.endpoint.Seq, e.endpoint.State = true, e.endpoint.StartedAtMs+1, 0, registry.Ready
 			}
 			e.nextAt, e.changeAt = s.now, s.now
+		case "storm":
+			for range 10 {
+				if err := errors.Join(s.put(), s.run(2*simStep)); err != nil {
+					return err
+				}
+			}
+		case "all power":
+			for _, h := range s.hosts {
+				if _, isFaulty := endAt[h]; !isFaulty && h.state != nil && !h.removed {
+					ends[h] = s.fault("outage", h)
+					endAt[h] = s.now + time.Duration(rapid.IntRange(1, 10).Draw(t, "duration"))*100*time.Millisecond
+				}
+			}
+		case "join":
+			i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.state != nil && !h.removed && h.state.isLeader() })
+			if i < 0 || len(s.hosts) > 8 || slices.ContainsFunc(s.hosts, (*simHost).lost) {
+				break
+			}
+			s.addHost(false).start()
+			ends[s.hosts[i]], endAt[s.hosts[i]] = s.fault("kill", s.hosts[i]), s.now+simCatchUp
 		default:
 			if slices.ContainsFunc(s.hosts, (*simHost).lost) {
 				break // no more than one at a time
--- a/internal/cluster/simulation_test.go
+++ b/internal/cluster/simulation_test.go
@@ -69,6 +69,7 @@
 	waiting []event // calls that arrived while the process was frozen
 
 	frozen, cut, removed bool
+	hung                 bool          // its disk stores nothing
 	stoppingSince        time.Duration // of a planned stop; 0 if none
 	startedAt            time.Duration
 }
@@ -252,7 +253,7 @@
 	if err := h.log.Handle(e); err != nil {
 		return err
 	}
-	for h.storage.Depth() > 0 {
+	for h.storage.Depth() > 0 && !h.hung {
 		r, err := h.storage.Get()
 		if err != nil {
 			return err
--- a/internal/edge/path_ends_test.go
+++ b/internal/edge/path_ends_test.go
@@ -169,7 +169,7 @@
 	switch {
 	case p.Length == 0:
 	case p.Seq != f.next:
-		v.send(simReply{from: v, flags: affinity.ACK, seq: f.sent, ack: f.next, echo: f.echo}, f.peer)
+		v.send(simReply{from: v, flags: affinity.ACK, seq: f.sent, ack: f.next, echo: f.echo}, f.peer) // a copy
 	default:
 		f.next += uint32(p.Length)
 		if !v.s.allowed[v.service] {
--- a/internal/edge/path_sim_test.go
+++ b/internal/edge/path_sim_test.go
@@ -282,10 +282,7 @@
 // probe asks the hosts whether they are ready, as the fabric does: two misses take one out of rotation.
 func (s *pathSite) probe() {
 	for _, h := range s.hosts {
-		ready := false
-		if h.duty != nil && !h.frozen {
-			ready = h.duty.isReady()
-		}
+		ready := h.duty != nil && !h.frozen && h.duty.isReady()
 		if h.misses++; ready {
 			h.misses, h.inRotation = 0, true
 		} else if h.misses >= 2 {
@@ -340,9 +337,8 @@
 func (s *pathSite) report(e registry.Endpoint) {
 	e.LastReportAt = s.now
 	if s.registry.MergeReport(e) {
-		if merged, ok := s.registry.Get(e.ID); ok {
-			s.publish(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{wire.EndpointReportToProto(merged, s.now)}})
-		}
+		merged, _ := s.registry.Get(e.ID)
+		s.publish(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{wire.EndpointReportToProto(merged, s.now)}})
 	}
 }
 
