Count as up to date only after the leader has committed an entry of its term

Callers would have seen: right after an election, when all hosts had been down, an entry host could begin with routes or evacuations older than the last that was acknowledged, for the time until the new leader's first commit.

Cause: a member counted as up to date when it had what its leader said was committed. A new leader does not know yet what has been committed before (Raft paper, section 8), so it says too little.

Change: Status.CommitIsUncertain is set until an entry of the present term is known to be committed; the host does not tell entry hosts that it is up to date meanwhile. Requests are directed and taken as before: a write waits for its own commit, and a read for a confirmed index.

Test: "does not count as up to date before its leader has committed an entry of its term".

--- a/internal/changelog/membership_test.go
+++ b/internal/changelog/membership_test.go
@@ -332,4 +332,19 @@
 		Expect(nodes[0].Status().Role).To(Equal(changelog.Leader))
 		Expect(nodes[1].Status().Leader).To(BeEquivalentTo(1))
 	})
+
+	// Guards against a member that takes itself for up to date right after an election, when its leader does not know yet that the last
+	// entries have been committed: entry hosts would begin with older routes.
+	It("does not count as up to date before its leader has committed an entry of its term", func() {
+		members := changelog.Membership{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+		entries := []changelog.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1, Data: []byte("acknowledged")}}
+		n, err := changelog.New(changelog.Config{ID: 1, Dynamic: true, InitialMembers: members}, changelog.HardState{Term: 1, Commit: 1}, changelog.Snapshot{}, entries)
+		Expect(err).NotTo(HaveOccurred())
+		n.Tick(time.Hour)
+		n.Step(changelog.Message{Kind: changelog.KindAppend, From: 2, To: 1, Term: 2, Index: 2, LogTerm: 1, Commit: 1})
+		Expect(n.Status().CommitIsUncertain).To(BeTrue())
+		n.Step(changelog.Message{Kind: changelog.KindAppend, From: 2, To: 1, Term: 2, Index: 2, LogTerm: 1, Commit: 3, Entries: []changelog.Entry{{Index: 3, Term: 2}}})
+		Expect(n.Status().Commit).To(BeEquivalentTo(3))
+		Expect(n.Status().CommitIsUncertain).To(BeFalse())
+	})
 })
--- a/internal/changelog/node.go
+++ b/internal/changelog/node.go
@@ -315,6 +315,7 @@
 		Members: n.members(), MembershipChanging: n.log.membership().index > n.log.commit,
 		LeaderCommit: max(n.leaderCommit, n.log.commit),
 	}
+	s.CommitIsUncertain = !n.log.matches(n.log.commit, n.hardState.Term)
 	if n.role == Leader {
 		s.LastContact = n.quorumContact()
 		s.LostDisks = slices.Sorted(maps.Keys(n.lost))
--- a/internal/changelog/types.go
+++ b/internal/changelog/types.go
@@ -223,7 +223,10 @@
 	// message from the leader. It is -1 if there was no contact.
 	LastContact time.Duration
 	// LeaderCommit is the highest commit index received from a leader, or the member's own if higher.
-	LeaderCommit       uint64
+	LeaderCommit uint64
+	// CommitIsUncertain is set while no entry of the present term is known to be committed: a new leader does not know yet what has been committed
+	// before (Raft paper, section 8).
+	CommitIsUncertain  bool
 	MatchIndex         map[uint64]uint64        // leader only: last entry known to be stored, by member ID
 	MemberContact      map[uint64]time.Duration // leader only: by member ID, when the leader sent the latest message that the member answered
 	Members            Membership               // nil in a fixed group
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -188,15 +188,18 @@
 	return d.status.Leader != 0 && d.status.Commit >= d.status.LeaderCommit && d.status.LastContact >= 0 && d.now-d.status.LastContact <= maxContactAge
 }
 
-// isCurrent reports whether entry hosts may rely on this host: it is in contact with a majority and applies in time what that has committed.
-func (d *stateDuty) isCurrent() bool { return d.hasMajorityContact() && !d.lag.isBehind }
+// isCurrent reports whether entry hosts may rely on this host: it is in contact with a majority, knows what that has committed and applies it
+// in time.
+func (d *stateDuty) isCurrent() bool {
+	return d.hasMajorityContact() && !d.status.CommitIsUncertain && !d.lag.isBehind
+}
 
 // observeLag tells the entry hosts when this host begins or ceases to be behind.
 func (d *stateDuty) observeLag() {
-	if !d.lag.observe(d.now, d.appliedIndex, d.status.LeaderCommit) {
+	if !d.lag.observe(d.now, d.appliedIndex, d.status.Commit) {
 		return
 	}
-	d.log.Warn("behind the majority", "behind", d.lag.isBehind, "applied", d.appliedIndex, "committed", d.status.LeaderCommit, "maxApplyMs", maxApplyTime.Milliseconds())
+	d.log.Warn("behind the majority", "behind", d.lag.isBehind, "applied", d.appliedIndex, "committed", d.status.Commit, "maxApplyMs", maxApplyTime.Milliseconds())
 	d.publish(&wirepb.EdgeUpdate{})
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -193,7 +193,7 @@
 		d.logger.Info("rejoined the log as a voter", "index", status.Commit)
 	}
 	if status.Role == last.Role && status.Leader == last.Leader && status.Term == last.Term &&
-		status.LastContact == last.LastContact && len(status.Members) == len(last.Members) && status.MembershipChanging == last.MembershipChanging {
+		status.LastContact == last.LastContact && status.CommitIsUncertain == last.CommitIsUncertain && len(status.Members) == len(last.Members) && status.MembershipChanging == last.MembershipChanging {
 		return nil
 	}
 	if status.Role != last.Role || status.Leader != last.Leader {
