--- a/internal/cluster/apply_lag_test.go
+++ b/internal/cluster/apply_lag_test.go
@@ -82,6 +82,9 @@
 			}
 		}
 		h.commit(desired(1))
+		h.handleEvent(statusChanged{changelog.Status{ID: 1, Leader: 2, Term: 2, Commit: 1, LeaderCommit: 1, LastContact: h.time, CommitIsUncertain: true}})
+		h.advance(400 * time.Millisecond)
+		Expect(latest().GetContact()).To(BeFalse(), "the new leader does not know yet what has been committed")
 		follow(1, time.Second)
 		Expect(latest().GetContact()).To(BeTrue())
 		follow(2, 250*time.Millisecond)
