--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(*site) (broken bool, err error){
-	"first-start": playFirstStart,
-	"first-hup":   playFirstHup,
+	"first-start":      playFirstStart,
+	"first-hup":        playFirstHup,
+	"restarted-server": playRestartedServer,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -209,3 +210,56 @@
 		return false, ""
 	}
 }
+
+// newEntry returns the entry process of zone i.
+func (s *site) newEntry(i int) *process {
+	return s.add(&process{s: s, program: "target/cassiawood-platform-entry", machine: machine{
+		Name: fmt.Sprintf("front-%d", i+1), Zone: fmt.Sprintf("zone-%d", i+1), IP: fmt.Sprintf("127.%d.3.%d", s.network, i+1),
+	}})
+}
+
+// startSystem starts the core and one entry machine in each zone, and puts the first desired state in force.
+func (s *site) startSystem() (controls, entries []*process, err error) {
+	for i := range controlCount {
+		controls = append(controls, s.newControl(i, s.folder))
+		entries = append(entries, s.newEntry(i))
+	}
+	for _, p := range append(append([]*process{}, controls...), entries...) {
+		if err := p.start(true); err != nil {
+			return nil, nil, err
+		}
+	}
+	if _, ok := s.newOperator().put(firstVersion, time.Now().Add(startLimit)); !ok {
+		return nil, nil, fmt.Errorf("the first desired state was not acknowledged")
+	}
+	return controls, entries, nil
+}
+
+// waitEntries waits until all entry machines are ready, which takes servers.
+func waitEntries(entries []*process) error {
+	for _, p := range entries {
+		if !p.waitReady(time.Now().Add(startLimit)) {
+			return fmt.Errorf("%s is not ready", p.machine.Name)
+		}
+	}
+	return nil
+}
+
+// startLimit bounds the start of a system.
+const startLimit = 15 * time.Second
+
+// waitReady asks for the readiness of an entry machine, as the routers do, until it is ready.
+func (p *process) waitReady(until time.Time) bool {
+	client := &http.Client{Timeout: callTimeout}
+	for time.Now().Before(until) {
+		response, err := client.Get(fmt.Sprintf("http://%s:%d/cassiawood/ready", p.machine.IP, readyPort))
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return false
+}
