--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -164,7 +164,9 @@
 }
 
 // request sends a request and waits for the answer, at most for the time budget. It reports whether it was answered.
-func (f *flow) request(text string) bool {
+func (f *flow) request(text string) (answered bool) {
+	f.m.s.detail("%s sends: %s", f.from, text)
+	defer func() { f.m.s.detail("%s: %s: answered: %t", f.from, text, answered) }()
 	begin, repeat := time.Now(), firstRepeat
 	due := begin.Add(repeat)
 	data, first, acknowledged := []byte(text), f.ack, false
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -51,8 +51,6 @@
 	seq      uint32 // of the server's next byte
 	open     bool   // the end of the handshake has arrived
 	finished bool
-	echo     uint32
-	lastAck  []byte // the latest answer, sent again if the client repeats its request
 }
 
 // startServer starts an incarnation with an id, at an address.
@@ -84,7 +82,7 @@
 	}
 }
 
-// isAlive reports whether the incarnation runs, and whether it holds the client's flow open.
+// holds reports whether the incarnation runs, and whether it holds the client's flow open.
 func (v *server) holds(client netip.AddrPort) (alive, open bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -142,7 +140,10 @@
 	case p.flags&flagRST != 0:
 		delete(v.flows, p.from)
 	default:
-		f.open, f.echo = true, p.echo
+		if !f.open {
+			v.s.detail("flow of %s is open at server %s (born %d)", p.from, v.name(), v.Born)
+		}
+		f.open = true
 		if len(p.data) > 0 {
 			v.takeData(p, f)
 		}
@@ -176,6 +177,7 @@
 		flags |= flagFIN
 		f.finished = true
 	}
+	v.s.detail("server %s (born %d) has run: %s", v.name(), v.Born, request)
 	v.send(p, f.seq, f.next, flags, answer)
 	f.seq += uint32(len(answer))
 }
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -89,6 +89,13 @@
 	fmt.Print(line)
 }
 
+// detail writes a line to the record only.
+func (s *site) detail(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = fmt.Fprintf(s.record, "%9.4f %s\n", time.Since(s.begin).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // close ends all processes and removes the folder.
 func (s *site) close() {
 	for _, p := range s.processes {
