--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -23,20 +23,20 @@
 	s      *site
 	ip     netip.Addr
 	socket *net.UDPConn
-	entry  netip.AddrPort // the node that the routers select; one is in rotation in the zone
+	route  func(from, to netip.AddrPort) netip.AddrPort // the node that the routers select for a packet
 
 	mu    sync.Mutex
 	port  uint16
 	flows map[uint16]*flow
 }
 
-func (s *site) newClientMachine(number int, entry netip.AddrPort) (*clientMachine, error) {
+func (s *site) newClientMachine(number int, route func(from, to netip.AddrPort) netip.AddrPort) (*clientMachine, error) {
 	ip := netip.AddrFrom4([4]byte{127, byte(s.network), 5, byte(number + 1)})
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, packetPort)))
 	if err != nil {
 		return nil, err
 	}
-	m := &clientMachine{s: s, ip: ip, socket: socket, entry: entry, port: 20000, flows: map[uint16]*flow{}}
+	m := &clientMachine{s: s, ip: ip, socket: socket, route: route, port: 20000, flows: map[uint16]*flow{}}
 	go m.read()
 	return m, nil
 }
@@ -96,7 +96,7 @@
 
 func (f *flow) send(flags byte, ack uint32, data []byte) {
 	p := packet{seq: f.seq, ack: ack, echo: f.echo, from: f.from, to: f.to, flags: flags, data: data}
-	_, _ = f.m.socket.WriteToUDPAddrPort(p.encode(), f.m.entry) // a lost packet
+	_, _ = f.m.socket.WriteToUDPAddrPort(p.encode(), f.m.route(f.from, f.to)) // a lost packet
 }
 
 // next returns the next packet, or nil at the end of the time.
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -18,6 +18,7 @@
 	"first-start":      playFirstStart,
 	"first-hup":        playFirstHup,
 	"restarted-server": playRestartedServer,
+	"odd-report":       playOddReport,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-3/restarted_server.go
+++ b/review/standins-3/restarted_server.go
@@ -56,7 +56,8 @@
 	if err := waitEntries(entries); err != nil {
 		return false, err
 	}
-	if c.machine, err = s.newClientMachine(0, netip.MustParseAddrPort(fmt.Sprintf("%s:%d", entries[0].machine.IP, packetPort))); err != nil {
+	onlyEntry := entries[0].packetAddress() // one is in rotation in the zone
+	if c.machine, err = s.newClientMachine(0, func(_, _ netip.AddrPort) netip.AddrPort { return onlyEntry }); err != nil {
 		return false, err
 	}
 	for i := range watchers {
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -42,6 +42,7 @@
 	flows    map[netip.AddrPort]*serverFlow
 	alive    bool
 	draining bool
+	cut      bool // off from all machines; nothing arrives and nothing leaves
 	stop     chan struct{}
 }
 
@@ -116,7 +117,7 @@
 		if id := binary.BigEndian.Uint64(buf); id != 0 && id != v.id {
 			continue
 		}
-		if p := decode(buf[8:n]); p != nil && !p.fromSystem() {
+		if p := decode(buf[8:n]); p != nil && !p.fromSystem() && !v.isCut() {
 			v.take(p)
 		}
 	}
@@ -183,7 +184,7 @@
 }
 
 func (v *server) send(p *packet, seq, ack uint32, flags byte, data []byte) {
-	if !v.alive {
+	if !v.alive || v.cut {
 		return
 	}
 	reply := packet{seq: seq, ack: ack, echo: p.echo, from: p.to, to: p.from, flags: flags, data: data}
@@ -202,6 +203,19 @@
 	}
 }
 
+// setCut cuts the server off from all machines, or ends that.
+func (v *server) setCut(cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut = cut
+}
+
+func (v *server) isCut() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cut
+}
+
 // report sends one report, to the next machine if one does not acknowledge it. It returns whether one did.
 func (v *server) report() bool {
 	v.mu.Lock()
@@ -215,6 +229,9 @@
 func (v *server) call(method, body string) bool {
 	client := &http.Client{Timeout: callTimeout}
 	for range controlCount {
+		if v.isCut() {
+			return false // the call gets no answer
+		}
 		target := fmt.Sprintf("http://%s/cassiawood/instances/%s", v.s.controlAddress(v.control%controlCount), v.name())
 		r, err := http.NewRequest(method, target, strings.NewReader(body))
 		if err != nil {
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -218,18 +219,23 @@
 	}
 }
 
-// newEntry returns the entry process of zone i.
-func (s *site) newEntry(i int) *process {
+// newEntry returns the entry process of machine i, in a zone.
+func (s *site) newEntry(i, zone int) *process {
 	return s.add(&process{s: s, program: "target/cassiawood-platform-entry", machine: machine{
-		Name: fmt.Sprintf("front-%d", i+1), Zone: fmt.Sprintf("zone-%d", i+1), IP: fmt.Sprintf("127.%d.3.%d", s.network, i+1),
+		Name: fmt.Sprintf("front-%d", i+1), Zone: fmt.Sprintf("zone-%d", zone+1), IP: fmt.Sprintf("127.%d.3.%d", s.network, i+1),
 	}})
 }
 
+// packetAddress returns the address at which an entry machine takes packets.
+func (p *process) packetAddress() netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(p.machine.IP), packetPort)
+}
+
 // startSystem starts the core and one entry machine in each zone, and puts the first desired state in force.
 func (s *site) startSystem() (controls, entries []*process, err error) {
 	for i := range controlCount {
 		controls = append(controls, s.newControl(i, s.folder))
-		entries = append(entries, s.newEntry(i))
+		entries = append(entries, s.newEntry(i, i))
 	}
 	for _, p := range append(append([]*process{}, controls...), entries...) {
 		if err := p.start(true); err != nil {
