Review case 15: resets of flows that have moved carry an old number

Cause: a host keeps a flow that has left it and resets it with the number of the last packet that came through it.

--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -77,6 +77,8 @@
 	arrived chan *packet
 	// onReset is called for a reset of the system's own that an open flow accepts.
 	onReset func(f *flow)
+	// onForeignReset is called for a packet of the system's own on an open flow that is no reset, because its number is not close to the client's last ack.
+	onForeignReset func(f *flow, distance int32)
 }
 
 func (m *clientMachine) newFlow(name string, to netip.AddrPort, onReset func(*flow)) *flow {
@@ -144,6 +146,9 @@
 	switch {
 	case p.flags&flagRST != 0:
 		if distance := int32(p.seq - f.ack); p.fromSystem() && (distance > resetWindow || distance < -resetWindow) {
+			if f.onForeignReset != nil {
+				f.onForeignReset(f, distance)
+			}
 			return false // not a reset of this flow
 		}
 		if p.fromSystem() && f.onReset != nil {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -19,6 +19,7 @@
 	"first-hup":        playFirstHup,
 	"restarted-server": playRestartedServer,
 	"odd-report":       playOddReport,
+	"moved-flow":       playMovedFlow,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -25,6 +25,7 @@
 	reportInterval = 1200 * time.Millisecond
 	workTime       = 30 * time.Millisecond
 	drainTime      = 3 * time.Second
+	maxData        = 1200 // bytes in a packet
 )
 
 // server is one incarnation of an endpoint.
@@ -42,6 +43,7 @@
 	flows    map[netip.AddrPort]*serverFlow
 	alive    bool
 	draining bool
+	padding  int  // bytes that are added to each answer
 	cut      bool // off from all machines; nothing arrives and nothing leaves
 	stop     chan struct{}
 }
@@ -172,15 +174,19 @@
 	if !v.alive || f.finished {
 		return
 	}
-	answer := []byte("answer to " + request)
-	flags := byte(flagACK)
-	if v.draining { // closes each flow after its next response
-		flags |= flagFIN
-		f.finished = true
-	}
+	answer := append([]byte("answer to "+request), make([]byte, v.padding)...)
 	v.s.detail("server %s (born %d) has run: %s", v.name(), v.Born, request)
-	v.send(p, f.seq, f.next, flags, answer)
-	f.seq += uint32(len(answer))
+	for len(answer) > 0 {
+		part := answer[:min(len(answer), maxData)]
+		answer = answer[len(part):]
+		flags := byte(flagACK)
+		if v.draining && len(answer) == 0 { // closes each flow after its next response
+			flags |= flagFIN
+			f.finished = true
+		}
+		v.send(p, f.seq, f.next, flags, part)
+		f.seq += uint32(len(part))
+	}
 }
 
 func (v *server) send(p *packet, seq, ack uint32, flags byte, data []byte) {
--- a/review/standins-3/site.go
+++ b/review/standins-3/site.go
@@ -40,9 +40,11 @@
 type site struct {
 	trouble bool
 	network int // second byte of all addresses
-	folder  string
-	begin   time.Time
-	random  *rand.Rand
+	// reservation keeps other runs from using the network.
+	reservation net.Listener
+	folder      string
+	begin       time.Time
+	random      *rand.Rand
 
 	mu        sync.Mutex
 	record    *os.File
@@ -62,23 +64,28 @@
 		trouble: os.Getenv("TROUBLE") != "0", folder: folder, begin: time.Now(), record: record,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	if s.network, err = freeNetwork(); err != nil {
+	if s.network, s.reservation, err = reserveNetwork(); err != nil {
 		return nil, err
 	}
 	s.note("trouble: %t", s.trouble)
 	return s, nil
 }
 
-// freeNetwork returns a second byte of loopback addresses that nothing listens on.
-func freeNetwork() (int, error) {
+// reserveNetwork returns a second byte of loopback addresses that no other run uses, and the listener that reserves it.
+func reserveNetwork() (int, net.Listener, error) {
 	for range 50 {
 		network := 100 + rand.IntN(150)
+		reservation, err := net.Listen("tcp", fmt.Sprintf("127.%d.9.9:%d", network, controlPort))
+		if err != nil {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", network, controlPort))
 		if err == nil {
-			return network, l.Close()
+			return network, reservation, l.Close()
 		}
+		_ = reservation.Close()
 	}
-	return 0, fmt.Errorf("no free loopback network")
+	return 0, nil, fmt.Errorf("no free loopback network")
 }
 
 // note writes a line to the record and to standard output.
@@ -102,6 +109,7 @@
 	for _, p := range s.processes {
 		p.end(syscall.SIGKILL)
 	}
+	_ = s.reservation.Close()
 	_ = os.RemoveAll(s.folder)
 	_ = s.record.Close()
 }
