--- a/review/standins-3/first_start.go
+++ b/review/standins-3/first_start.go
@@ -14,7 +14,7 @@
 	// the bound for an order then. The rest shows that it does not come later either.
 	judgeTime = stableWindow + ackLimit + 6*time.Second
 	// maxDelay is the range from which the moment of the disruption is drawn, from the start of the last process.
-	maxDelay = 50 * time.Millisecond
+	maxDelay = 25 * time.Millisecond
 	// restartDelay is the pause before a process that has ended is started again. All are back within a second.
 	restartDelay  = 300 * time.Millisecond
 	quietRounds   = 30 // without the disruption
--- a/review/standins-3/restarted_server.go
+++ b/review/standins-3/restarted_server.go
@@ -13,7 +13,7 @@
 	serverName         = 0x11            // the endpoint that is restarted
 	drainLead          = 3400 * time.Millisecond
 	startLag           = 20 * time.Millisecond // of the new process after the full five seconds
-	restartRounds      = 8
+	restartRounds      = 9
 	watchers           = 6  // clients that poll at each full five seconds
 	readers            = 80 // clients that poll each five seconds, at a time of their own
 	pollsPerFlow       = 0
