--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -24,6 +24,8 @@
 const (
 	reportInterval = 1200 * time.Millisecond
 	workTime       = 30 * time.Millisecond
+	slotCount      = 2 // requests that are processed at once, as the reports say
+	queueLimit     = 8 // requests that wait; further ones are refused and not run
 	drainTime      = 3 * time.Second
 	maxData        = 1200 // bytes in a packet
 )
@@ -43,7 +45,9 @@
 	flows    map[netip.AddrPort]*serverFlow
 	alive    bool
 	draining bool
-	padding  int  // bytes that are added to each answer
+	padding  int // bytes that are added to each answer
+	busy     int // slots in use
+	queue    []func()
 	cut      bool // off from all machines; nothing arrives and nothing leaves
 	stop     chan struct{}
 }
@@ -130,6 +134,8 @@
 	defer v.mu.Unlock()
 	f := v.flows[p.from]
 	switch {
+	case f != nil && f.finished && p.flags&flagFIN != 0:
+		v.send(p, f.seq, f.next, flagACK, nil)
 	case p.flags&flagSYN != 0:
 		if f == nil || f.next != p.seq+1 {
 			f = &serverFlow{next: p.seq + 1, seq: rand.Uint32()}
@@ -163,19 +169,45 @@
 	if p.seq == f.next {
 		f.next += uint32(len(p.data))
 		request := string(p.data)
-		time.AfterFunc(workTime, func() { v.answer(p, f, request) })
+		v.accept(p, f, request)
 	}
 	v.send(p, f.seq, f.next, flagACK, nil)
 }
 
-func (v *server) answer(p *packet, f *serverFlow, request string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+// accept gives a request a slot, lets it wait for one, or refuses it. The mutex is held.
+func (v *server) accept(p *packet, f *serverFlow, request string) {
+	run := func() {
+		time.AfterFunc(workTime, func() {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.s.detail("server %s (born %d) has run: %s", v.name(), v.Born, request)
+			v.answer(p, f, append([]byte("answer to "+request), make([]byte, v.padding)...))
+			if len(v.queue) == 0 {
+				v.busy--
+				return
+			}
+			next := v.queue[0]
+			v.queue = v.queue[1:]
+			next()
+		})
+	}
+	switch {
+	case v.busy < slotCount:
+		v.busy++
+		run()
+	case len(v.queue) < queueLimit:
+		v.queue = append(v.queue, run)
+	default:
+		v.s.detail("server %s (born %d) refuses and has not run: %s", v.name(), v.Born, request)
+		v.answer(p, f, []byte("not run: "+request))
+	}
+}
+
+// answer sends an answer. The mutex is held.
+func (v *server) answer(p *packet, f *serverFlow, answer []byte) {
 	if !v.alive || f.finished {
 		return
 	}
-	answer := append([]byte("answer to "+request), make([]byte, v.padding)...)
-	v.s.detail("server %s (born %d) has run: %s", v.name(), v.Born, request)
 	for len(answer) > 0 {
 		part := answer[:min(len(answer), maxData)]
 		answer = answer[len(part):]
