Log the number and the age of resets of idle flows

The line said how many flows were reset, and not by what: whether a reset carries an old number, and from when, could not be told from the logs. It names for the first flow and for the one that was idle longest the acknowledgement number and the time since its last packet at this host, and whether the endpoint has ended or answers nothing.

--- a/internal/affinity/ended.go
+++ b/internal/affinity/ended.go
@@ -49,7 +49,7 @@
 	var next *flow
 	for f := e.lists[idle].oldest; f != nil; f = next {
 		if next = f.next; ended[f.endpoint] {
-			e.resets = append(e.resets, FlowReset{Caller: f.key.caller, Service: f.key.service, Ack: f.progress.ack, Endpoint: f.endpoint.Name})
+			e.resets = append(e.resets, FlowReset{Caller: f.key.caller, Service: f.key.service, Ack: f.progress.ack, Idle: now - f.lastPacketAt, Endpoint: f.endpoint.Name, EndpointEnded: f.endpoint.hasEnded(now)})
 			e.removeFlow(f)
 		}
 	}
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -116,11 +116,13 @@
 	OpenFlows       int           // of a placed flow: flows of the endpoint that this host remembers, this one included
 }
 
-// FlowReset is a reset to send to the caller of an idle flow whose endpoint has ended.
+// FlowReset is a reset to send to the caller of an idle flow whose endpoint has ended or answers nothing.
 type FlowReset struct {
 	Caller, Service netip.AddrPort
-	Ack             uint32 // acknowledgment number of the caller's last packet
-	Endpoint        string // name of the endpoint
+	Ack             uint32        // acknowledgment number of the last packet of the caller that came through this host
+	Idle            time.Duration // since that packet
+	Endpoint        string        // name of the endpoint
+	EndpointEnded   bool          // it has ended; if not, it answers nothing
 }
 
 // Suspicion reports that this host has started or stopped to suspect an endpoint of failure.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"cassiawood/internal/affinity"
@@ -230,7 +232,9 @@
 		d.packetsOut.Offer(&datagram{packet: affinity.Packet{Caller: r.Caller, Service: r.Service, Ack: r.Ack}, verdict: affinity.Reset})
 	}
 	d.metrics.idleResets.Inc(int64(len(resets)))
-	d.log.Info("idle flows reset", "count", len(resets), "firstFlow", resets[0].Caller, "firstEndpoint", resets[0].Endpoint)
+	first, oldest := resets[0], slices.MaxFunc(resets, func(a, b affinity.FlowReset) int { return cmp.Compare(a.Idle, b.Idle) })
+	d.log.Info("idle flows reset", "count", len(resets), "firstFlow", first.Caller, "firstEndpoint", first.Endpoint, "firstEnded", first.EndpointEnded,
+		"firstNumber", first.Ack, "firstIdleMs", first.Idle.Milliseconds(), "longestIdleFlow", oldest.Caller, "longestIdleNumber", oldest.Ack, "longestIdleMs", oldest.Idle.Milliseconds())
 }
 
 // applyUpdate applies an update from the control host.
