Reset idle flows only when all their packets have come through this host

Cause: an entry host resets the idle flows of an endpoint that has ended or answers nothing with the acknowledgement number of the last packet that came through it. When the rotation changes, flows go on through other hosts, and nothing bounds how far the caller's number goes from there. A host knows its own packets only.

Change: what a host can know for certain is that no packet went elsewhere, and only if the set of hosts in rotation in its failure domain has not changed since the last packet. Each host knows its own place from the probes of the fabric that it has answered, by a clock that counts suspensions. When idle flows are to be reset, the host asks; the control hosts ask all entry hosts of the domain and each other, and answer with the shortest time without a change (internal/rotation, pure; internal/cluster/rotation.go, internal/edge/rotation.go). Flows whose last packet is older, or about which somebody has not answered, are left alone: the caller learns of the end from the answer to its next packet, which has the number of that packet. There is no queue of resets any more in which a number could grow old, and a flow whose packet has been answered with a reset is forgotten.

The callers of the drawn schedules now judge resets that nobody asked for by the page.

Existing specs of idle resets ask for the evidence now and give a host all of whose flows came through it; what they expect is unchanged.

--- a/internal/affinity/affinity_test.go
+++ b/internal/affinity/affinity_test.go
@@ -191,7 +191,7 @@
 			e.Tick(now)
 			Expect(e.Decide(now, laterPacket(desk, caller, affinity.Token(1), 5)).Verdict).To(Equal(affinity.Forward))
 		}
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 20*time.Second, 9)).To(BeEmpty())
 		claimant.Silent = true
 		e.Upsert(20*time.Second, claimant)
 		port := 100
--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -43,10 +43,8 @@
 	snapshot        demandSnapshot
 	suspicions      []Suspicion // since the last call of TakeSuspicions
 	excesses        []Excess    // since the last call of TakeExcesses
-	unresponsive    []*endpoint // with a stalled flow since the last Tick
-	ending          []*endpoint // gone or replaced; their idle flows have not been reset yet
-	resets          []FlowReset // not yet taken by TakeResets
-	holdsNewFlows   bool        // set by HoldNewFlows
+	idle            idleResets
+	holdsNewFlows   bool // set by HoldNewFlows
 	path            pathHealth
 	evacuations     routing.Evacuations
 	coldStarts      map[string]routing.ColdStart // by service
@@ -397,6 +395,9 @@
 	case !slices.Contains(r.allowed, ep.Service):
 		return Decision{Verdict: Drop, Reason: ForeignToken}
 	case ep.hasEnded(now):
+		if f != nil {
+			e.removeFlow(f) // its caller learns it now, with the number of this packet
+		}
 		d := refuse(p, EndpointGone)
 		d.Endpoint = &ep.Endpoint
 		return d
--- a/internal/affinity/flows.go
+++ b/internal/affinity/flows.go
@@ -208,7 +208,7 @@
 func (e *Engine) ForgetFlows() {
 	clear(e.flows)
 	e.lists = [phaseCount]flowList{}
-	e.unresponsive, e.resets = nil, nil
+	e.idle.unresponsive, e.idle.asked = nil, nil
 	for _, ep := range e.byID {
 		ep.openFlows, ep.working, ep.health = 0, 0, passiveHealth{}
 	}
@@ -234,11 +234,10 @@
 }
 
 // Tick removes expired flows and an outdated demand snapshot, evaluates flows that were abandoned,
-// resets idle flows of endpoints that have ended, observes the usage of the services and centres the turns of uneven ones.
+// observes the usage of the services and centres the turns of uneven ones.
 func (e *Engine) Tick(now time.Duration) {
 	e.expireDemand(now)
 	e.checkAbandoned(now)
-	e.resetIdleFlows(now)
 	for f := e.lists[pending].oldest; f != nil && now-f.startedAt >= pendingTimeout; f = e.lists[pending].oldest {
 		e.removeFlow(f)
 	}
--- a/internal/affinity/path_test.go
+++ b/internal/affinity/path_test.go
@@ -70,7 +70,7 @@
 		l.now = max(l.now, e.at)
 		e.do()
 		l.engine.Tick(l.now)
-		for _, r := range l.engine.TakeResets(1000) {
+		for _, r := range takeResets(l.engine, l.now, 1000) {
 			Expect(r.Endpoint).NotTo(BeEmpty())
 			l.resets[0]++
 		}
--- a/internal/affinity/stall_test.go
+++ b/internal/affinity/stall_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"cassiawood/internal/affinity"
+	"cassiawood/internal/rotation"
 )
 
 // Times after the first transmission at which callers retransmit unacknowledged data.
@@ -25,6 +26,14 @@
 	return e
 }
 
+// takeResets returns the resets of idle flows at a host all of whose flows have always come through it.
+func takeResets(e *affinity.Engine, now time.Duration, limit int) []affinity.FlowReset {
+	if !e.AskEvidence(now) {
+		return nil
+	}
+	return e.ResetIdleFlows(now, rotation.Evidence{IsComplete: true, UnchangedSince: -time.Hour}, limit).Resets
+}
+
 // dataPacket returns a packet with data and the given sequence and acknowledgment numbers.
 func dataPacket(service netip.AddrPort, port int, token, seq, ack uint32) affinity.Packet {
 	p := laterPacket(service, callerAt(port), token, ack)
@@ -67,7 +76,7 @@
 			}
 		}
 		e.Tick(resumed)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, resumed, 9)).To(BeEmpty())
 		Expect(e.TakeSuspicions()).To(BeEmpty())
 		got := e.Decide(resumed, firstPacket(sheet, callerAt(9), 1))
 		Expect(got.Reason).To(Equal(affinity.Repeated))
@@ -205,18 +214,18 @@
 		successor.Address, successor.StartedAtMs = endpoint(1, "desk", "a").Address, 2000
 		e.Upsert(0, successor)
 		e.Tick(900 * time.Millisecond)
-		Expect(e.TakeResets(9)).To(BeEmpty(), "the endpoint may still report")
+		Expect(takeResets(e, 900*time.Millisecond, 9)).To(BeEmpty(), "the endpoint may still report")
 		silent := endpoint(1, "desk", "a")
 		silent.Silent = true
 		e.Upsert(time.Second, silent)
 		e.Tick(1500 * time.Millisecond)
-		Expect(e.TakeResets(9)).To(BeEmpty(), "the endpoint may still send its last answers")
+		Expect(takeResets(e, 1500*time.Millisecond, 9)).To(BeEmpty(), "the endpoint may still send its last answers")
 		e.Tick(2 * time.Second)
-		got := e.TakeResets(9)
+		got := takeResets(e, 2*time.Second, 9)
 		Expect(callers(got)).To(Equal([]int{1}))
 		Expect(got[0].Ack).To(BeEquivalentTo(6))
 		e.Tick(3 * time.Second)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 3*time.Second, 9)).To(BeEmpty())
 	})
 
 	// Guards against resets while the endpoint still sends its last answers, and against resets of the flows of an
@@ -228,23 +237,23 @@
 		gone.AcceptsFlows, gone.Gone = false, true
 		e.Upsert(0, gone)
 		e.Tick(900 * time.Millisecond)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 900*time.Millisecond, 9)).To(BeEmpty())
 		e.Upsert(950*time.Millisecond, running)
 		e.Tick(9 * time.Second)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 9*time.Second, 9)).To(BeEmpty())
 		e.Upsert(9*time.Second, gone)
 		e.Tick(9900 * time.Millisecond)
-		Expect(e.TakeResets(9)).To(BeEmpty(), "it is gone again since 9 s only")
+		Expect(takeResets(e, 9900*time.Millisecond, 9)).To(BeEmpty(), "it is gone again since 9 s only")
 		Expect(e.Decide(9900*time.Millisecond, laterPacket(desk, callerAt(1), affinity.Token(1), 5)).Verdict).To(Equal(affinity.Forward))
 		restarted := running
 		restarted.StartedAtMs = 2000
 		e.Upsert(9950*time.Millisecond, restarted)
 		e.Tick(12 * time.Second)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 12*time.Second, 9)).To(BeEmpty())
 		gone.StartedAtMs = 2000
 		e.Upsert(12*time.Second, gone)
 		e.Tick(13 * time.Second)
-		Expect(callers(e.TakeResets(9))).To(Equal([]int{1}))
+		Expect(callers(takeResets(e, 13*time.Second, 9))).To(Equal([]int{1}))
 	})
 
 	// Guards against callers that send request after request on flows to an endpoint that has died without
@@ -257,7 +266,7 @@
 			stall(e, port, 1)
 		}
 		e.Tick(secondRetransmit)
-		Expect(callers(e.TakeResets(9))).To(Equal([]int{1}), "neither the stalled flows nor those of other endpoints")
+		Expect(callers(takeResets(e, secondRetransmit, 9))).To(Equal([]int{1}), "neither the stalled flows nor those of other endpoints")
 	})
 
 	It("are kept when fewer flows have no answer, or one has had an answer since", func() {
@@ -267,12 +276,12 @@
 			stall(e, port, 1)
 		}
 		e.Tick(secondRetransmit)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, secondRetransmit, 9)).To(BeEmpty())
 		stall(e, 13, 1)
 		e.Decide(secondRetransmit, dataPacket(desk, 14, affinity.Token(1), 101, 5))
 		e.Decide(secondRetransmit, dataPacket(desk, 14, affinity.Token(1), 111, 7))
 		e.Tick(secondRetransmit)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, secondRetransmit, 9)).To(BeEmpty())
 	})
 
 	// Guards against resets by a host that was frozen: it reads all retransmissions at once.
@@ -285,7 +294,7 @@
 			}
 		}
 		e.Tick(5 * time.Second)
-		Expect(e.TakeResets(9)).To(BeEmpty())
+		Expect(takeResets(e, 5*time.Second, 9)).To(BeEmpty())
 	})
 
 	It("are reset a limited number at a time", func() {
@@ -297,7 +306,7 @@
 		gone.AcceptsFlows, gone.Gone = false, true
 		e.Upsert(0, gone)
 		e.Tick(5 * time.Second)
-		Expect(e.TakeResets(3)).To(HaveLen(3))
-		Expect(e.TakeResets(3)).To(HaveLen(2))
+		Expect(takeResets(e, 5*time.Second, 3)).To(HaveLen(3))
+		Expect(takeResets(e, 5*time.Second, 3)).To(HaveLen(2))
 	})
 })
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -21,7 +21,7 @@
 // purePackages lists the packages that contain decision logic only.
 var purePackages = []string{
 	"directory", "flow", "balance", "request", "member", "changelog", "document", "experiment",
-	"affinity", "routing", "registry", "voters", "delay", "coldstart", "suggest",
+	"affinity", "routing", "registry", "voters", "delay", "coldstart", "rotation", "suggest",
 }
 
 // forbiddenImports lists the imports that would give a pure package access to I/O,
--- a/internal/cluster/delays_bench_test.go
+++ b/internal/cluster/delays_bench_test.go
@@ -42,7 +42,7 @@
 		for i, out := range outs {
 			list := wire.DelaysToProto(reportsOfEntryHost(rng, endpoints, reported))
 			sizes.fromEntry += encodedSize(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeDemand{EdgeDemand: &wirepb.EdgeDemand{Delays: list}}})
-			if err := peers[i%controlHosts].handle(demandReported{out: out, delays: list}); err != nil {
+			if err := peers[i%controlHosts].handle(demandReported{out: out, report: &wirepb.EdgeDemand{Delays: list}}); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/cluster/delays_test.go
+++ b/internal/cluster/delays_test.go
@@ -40,7 +40,7 @@
 		}
 		list = append(list, r)
 	}
-	e.control.handleEvent(demandReported{out: e.out, delays: wire.DelaysToProto(list)})
+	e.control.handleEvent(demandReported{out: e.out, report: &wirepb.EdgeDemand{Delays: wire.DelaysToProto(list)}})
 }
 
 // relative returns the relative delays in the updates since the last call, the latest one of each endpoint.
@@ -240,9 +240,9 @@
 	It("with odd values are left out", func() {
 		h := withEndpoints(newPeers(1), 2)[0]
 		entry := newDelayEntry(h)
-		h.handleEvent(demandReported{out: entry.out, delays: []*wirepb.EndpointDelay{
+		h.handleEvent(demandReported{out: entry.out, report: &wirepb.EdgeDemand{Delays: []*wirepb.EndpointDelay{
 			{Id: 1, Samples: float32(math.NaN())}, {Id: 1, Samples: 1, MeanLog: float32(math.Inf(-1))}, {Id: 77, Samples: 1}, {Id: 2, Samples: 3},
-		}})
+		}}})
 		Expect(h.delays.invalid).To(Equal(2))
 		h.advance(delaysInterval)
 		Expect(weight(h, 1)).To(BeZero())
--- a/internal/cluster/demand.go
+++ b/internal/cluster/demand.go
@@ -21,6 +21,17 @@
 
 type serviceDomain struct{ service, domain string }
 
+// handleDemand takes what an entry host says of itself.
+func (d *stateDuty) handleDemand(e demandReported) {
+	s, ok := d.subscribers[e.out]
+	if !ok {
+		return
+	}
+	s.demand = demandReport{receivedAt: d.now, demand: e.report.GetDemand()}
+	s.delays.add(d.delays.validReports(e.report.GetDelays()))
+	d.handleRotation(e.out, s, e.report)
+}
+
 // demandSum is the sum of several reports, in flows.
 type demandSum map[serviceDomain]uint32
 
--- a/internal/cluster/endpoints.go
+++ b/internal/cluster/endpoints.go
@@ -110,6 +110,7 @@
 		d.peerDemand[u.GetFrom()] = demandReport{receivedAt: d.now, demand: u.GetDemand()}
 	}
 	d.mergePeerDelays(u)
+	d.handlePeerRotation(u)
 	if u.GetRequestAll() {
 		d.sendReports(u.GetFrom(), d.allEndpoints())
 	}
--- a/internal/cluster/events.go
+++ b/internal/cluster/events.go
@@ -40,17 +40,18 @@
 	// subscribe and unsubscribe come from the streams of entry hosts.
 	subscribe struct {
 		host, domain string
-		wantsState   bool // the entry host wants routes and endpoints
+		process      uint64 // random number of the entry host's process; 0 from an earlier build
+		wantsState   bool   // the entry host wants routes and endpoints
 		// acceptsCompressed says that the entry host reads compressed envelopes.
 		acceptsCompressed bool
 		out               *ring.Ring[[]byte]
 	}
 	unsubscribe struct{ out *ring.Ring[[]byte] }
-	// demandReported is the demand, and the delays measured, at the entry host whose stream is fed from out.
+	// demandReported is what the entry host whose stream is fed from out says of itself: its demand, the delays that it has measured and its place
+	// in the rotation.
 	demandReported struct {
 		out    *ring.Ring[[]byte]
-		demand []*wirepb.Demand
-		delays []*wirepb.EndpointDelay
+		report *wirepb.EdgeDemand
 	}
 	// peerUpdate and joinRequest come from other control hosts.
 	peerUpdate  struct{ update *wirepb.EndpointUpdate }
--- a/internal/cluster/links.go
+++ b/internal/cluster/links.go
@@ -265,9 +265,9 @@
 			go wire.SendAllEncoded(out, stream)
 		}
 		f := body.EdgeFollow
-		_, err = s.stateInbox.Put(subscribe{host: f.GetHost(), domain: f.GetDomain(), wantsState: f.GetChosen(), acceptsCompressed: f.GetAcceptsCompressed(), out: out})
+		_, err = s.stateInbox.Put(subscribe{host: f.GetHost(), domain: f.GetDomain(), process: f.GetProcess(), wantsState: f.GetChosen(), acceptsCompressed: f.GetAcceptsCompressed(), out: out})
 	case *wirepb.Envelope_EdgeDemand:
-		_, err = s.stateInbox.Put(demandReported{out: out, demand: body.EdgeDemand.GetDemand(), delays: body.EdgeDemand.GetDelays()})
+		_, err = s.stateInbox.Put(demandReported{out: out, report: body.EdgeDemand})
 	default:
 		err = fmt.Errorf("unexpected envelope %T", body)
 	}
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -254,7 +254,7 @@
 			TargetVoters: 2*s.ToleratedFailures + 1, ReplaceAfter: replaceVoterAfter, RemoveAfter: removeStandbyAfter, MaxContactAge: maxContactAge, MaxLag: maxStandbyLagEntries,
 		},
 		routes: routes, appliedIndex: node.Status().Applied, snapshotIndex: node.Status().Applied, registry: h.openRegistry(clock()), seeds: s.SeedAddresses(),
-		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{}, joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{id.ID: s.Domain}, earlierDomains: map[string]bool{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(),
+		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{}, joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{id.ID: s.Domain}, earlierDomains: map[string]bool{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), rotation: newRotationRounds(clock()),
 		status: changelog.Status{LastContact: -1}, evacuation: evacuationState{supporters: map[string]bool{}}, startedAt: clock(),
 	}
 	m.evacuations.Update(int64(len(routes.Evacuations().Domains)))
--- a/internal/cluster/simulation_test.go
+++ b/internal/cluster/simulation_test.go
@@ -170,7 +170,7 @@
 		seeds:       []string{simAddress(0), simAddress(1), simAddress(2)},
 		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{},
 		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{h.disk.id: h.domain}, earlierDomains: map[string]bool{},
-		leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), status: changelog.Status{LastContact: -1},
+		leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), rotation: newRotationRounds(h.s.now), status: changelog.Status{LastContact: -1},
 		evacuation: evacuationState{supporters: map[string]bool{}},
 	}
 	h.log = replica.NewLogDuty(h.state.log, node, h.storage, logOutput{stateInbox: h.stateIn, linksInbox: links})
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -81,6 +81,7 @@
 	delays               sharedDelays
 	steering             steering
 	coldGrants           coldGrants
+	rotation             rotationRounds
 	registryChanged      bool          // the registry has changed since it was saved
 	endpointLeft         bool          // so has an endpoint's state, to draining or gone
 	registrySavedAt      time.Duration // last save of the registry
@@ -133,10 +134,7 @@
 	case unsubscribe:
 		d.removeSubscriber(e)
 	case demandReported:
-		if s, ok := d.subscribers[e.out]; ok {
-			s.demand = demandReport{receivedAt: d.now, demand: e.demand}
-			s.delays.add(d.delays.validReports(e.delays))
-		}
+		d.handleDemand(e)
 	case peerUpdate:
 		d.mergePeerUpdate(e.update)
 	case joinRequest:
@@ -168,6 +166,7 @@
 	d.requestJoin()
 	d.broadcastSignsOfLife()
 	d.steering.expire(d.now)
+	d.expireRounds()
 	d.broadcastDemand()
 	d.shareDelays()
 	d.saveRegistry()
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -41,7 +41,7 @@
 		metrics: newCounters(metrics.NewRegistry()), routes: routing.NewState(),
 		registry:    registry.New(registry.Limits{SilentAfter: 2600 * time.Millisecond, ForgetAfter: time.Minute}),
 		subscribers: map[*ring.Ring[[]byte]]*subscriber{}, unpublishedEndpoints: map[uint64]bool{}, pendingGets: map[uint64]pendingGet{},
-		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, earlierDomains: map[string]bool{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), status: changelog.Status{LastContact: -1},
+		joinRequests: map[uint64]pendingJoin{}, peerDemand: map[string]demandReport{}, memberDomains: map[uint64]string{}, earlierDomains: map[string]bool{}, leavingSaidAt: map[uint64]time.Duration{}, steering: newSteering(), rotation: newRotationRounds(0), status: changelog.Status{LastContact: -1},
 		evacuation: evacuationState{supporters: map[string]bool{}},
 	}
 	return h
@@ -406,8 +406,8 @@
 		h.handleEvent(subscribe{host: "h1", domain: "a", wantsState: true, out: one})
 		h.handleEvent(subscribe{host: "h2", domain: "a", wantsState: true, out: two})
 		h.advance(time.Second)
-		h.handleEvent(demandReported{out: one, demand: demandOf("a", 5)})
-		h.handleEvent(demandReported{out: two, demand: demandOf("a", 7)})
+		h.handleEvent(demandReported{out: one, report: &wirepb.EdgeDemand{Demand: demandOf("a", 5)}})
+		h.handleEvent(demandReported{out: two, report: &wirepb.EdgeDemand{Demand: demandOf("a", 7)}})
 		h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:2", Demand: demandOf("b", 30)}})
 		h.advance(demandInterval)
 		Expect(latestDemand(one)).To(Equal(map[string]uint32{"a": 12, "b": 30}))
@@ -423,7 +423,7 @@
 		h.handleEvent(peerUpdate{&wirepb.EndpointUpdate{From: "127.0.0.1:2", Demand: demandOf("b", 30)}})
 		h.advance(demandLifetime + time.Second)
 		latestDemand(out)
-		h.handleEvent(demandReported{out: out, demand: demandOf("a", 5)})
+		h.handleEvent(demandReported{out: out, report: &wirepb.EdgeDemand{Demand: demandOf("a", 5)}})
 		h.advance(demandInterval)
 		Expect(latestDemand(out)).To(Equal(map[string]uint32{"a": 5}))
 	})
--- a/internal/cluster/subscribers.go
+++ b/internal/cluster/subscribers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cassiawood/internal/ring"
+	"cassiawood/internal/rotation"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
 )
@@ -17,6 +18,7 @@
 // subscriber is an entry host that has subscribed to updates from this control host.
 type subscriber struct {
 	host, domain   string
+	process        rotation.Process
 	wantsState     bool          // it gets routes and endpoints in addition to heartbeats
 	compressed     bool          // it reads compressed envelopes
 	needsFullState bool          // it needs the full state, initially or because an update was lost
@@ -32,7 +34,9 @@
 		e.out.Offer(d.newFrame(d.firstPart()).encoded(e.acceptsCompressed))
 		return
 	}
-	d.subscribers[e.out] = &subscriber{host: e.host, domain: e.domain, compressed: e.acceptsCompressed, wantsState: true, needsFullState: true}
+	process := rotation.ProcessOf(e.host, e.process)
+	d.subscribers[e.out] = &subscriber{host: e.host, domain: e.domain, process: process, compressed: e.acceptsCompressed, wantsState: true, needsFullState: true}
+	d.rotation.roster.Follow(e.domain, process)
 	d.log.Info("entry host subscribed", "host", e.host, "domain", e.domain, "version", d.routes.Desired().Version, "endpoints", d.registry.Len())
 	d.sendFullState()
 }
@@ -43,6 +47,9 @@
 		d.log.Info("entry host unsubscribed", "host", s.host, "domain", s.domain)
 	}
 	delete(d.subscribers, e.out)
+	if ok && s.wantsState {
+		d.loseEntryHost(s)
+	}
 }
 
 // fullStateMaxAge is how long an encoded full state is used for entry hosts that subscribe after each other.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -15,13 +15,6 @@
 	"cassiawood/internal/ring"
 )
 
-// SteadyClock returns a monotonic clock that returns the time since the Unix
-// epoch. It does not jump when the wall clock is set.
-func SteadyClock() func() time.Duration {
-	start := time.Now()
-	return func() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
-}
-
 // Duty is one loop of the process. Run returns when ctx ends or its inbox is
 // closed. It calls Begin and End around each handler, so that the watchdog can
 // distinguish a handler that hangs from a duty that waits for work.
--- a/internal/edge/engine.go
+++ b/internal/edge/engine.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"cmp"
 	"log/slog"
-	"slices"
 	"time"
 
 	"cassiawood/internal/affinity"
@@ -25,8 +23,8 @@
 	maxDropLinesPerSecond = 20
 	// maxFailureLinesPerSecond is the maximum rate of log lines about contained panics, which hold a stack.
 	maxFailureLinesPerSecond = 2
-	// maxResetsPerTick leaves most of the ring of outgoing packets to forwarded packets.
-	maxResetsPerTick = datagramCount / 4
+	// maxResetsAtOnce leaves most of the ring of outgoing packets to forwarded packets.
+	maxResetsAtOnce = datagramCount / 4
 	// ticksPerSecond is the number of ticks between updates of the metrics and the demand.
 	ticksPerSecond = int(time.Second / tickInterval)
 )
@@ -64,6 +62,7 @@
 	freeDatagrams *ring.Ring[*datagram]
 	followInbox   *ring.Ring[followEvent]
 	clock         func() time.Duration
+	bootClock     func() time.Duration // goes on while the machine is suspended
 	metrics       *counters
 
 	now               time.Duration
@@ -76,6 +75,7 @@
 	loggedReady       bool // last logged readiness
 	lastPacket        time.Duration
 	pause             pauseGuard
+	rotation          rotationWatch
 	ticks             int
 	flowLines         int           // log lines about flows in this second, but for drops
 	dropLines         int           // log lines about dropped packets in this second
@@ -97,7 +97,9 @@
 	case stateUpdated:
 		d.applyUpdate(e.update)
 	case readyQuery:
-		e.reply.Offer(d.isReady())
+		isReady := d.isReady()
+		d.rotation.own.Answered(d.instant(), isReady)
+		e.reply.Offer(isReady)
 	case explainQuery:
 		e.reply.Offer(d.explain(e.query))
 	case idleQuery:
@@ -105,6 +107,8 @@
 	case stopping:
 		d.stopping = true
 		d.isReady()
+		d.rotation.own.Leave()
+		d.followInbox.Offer(rotationMessage{stopping: true})
 	case followedAnew:
 		d.pause.followedAnew()
 	}
@@ -195,7 +199,7 @@
 	for _, x := range d.engine.TakeExcesses() {
 		d.log.Info("excess of flows", "service", x.Service, "begins", x.Begins, "flowsPerSlot", x.Load, "meanFlowsPerSlot", x.Mean, "factor", x.Factor)
 	}
-	d.sendResets()
+	d.askAboutRotation()
 	if d.ticks++; d.ticks%ticksPerSecond != 0 {
 		return
 	}
@@ -221,22 +225,6 @@
 	}
 }
 
-// sendResets sends resets of idle flows, a bounded number per tick.
-func (d *engineDuty) sendResets() {
-	resets := d.engine.TakeResets(maxResetsPerTick)
-	if len(resets) == 0 {
-		return
-	}
-	for _, r := range resets {
-		// The buffers of received packets are not used, since the packet reader waits for them.
-		d.packetsOut.Offer(&datagram{packet: affinity.Packet{Caller: r.Caller, Service: r.Service, Ack: r.Ack}, verdict: affinity.Reset})
-	}
-	d.metrics.idleResets.Inc(int64(len(resets)))
-	first, oldest := resets[0], slices.MaxFunc(resets, func(a, b affinity.FlowReset) int { return cmp.Compare(a.Idle, b.Idle) })
-	d.log.Info("idle flows reset", "count", len(resets), "firstFlow", first.Caller, "firstEndpoint", first.Endpoint, "firstEnded", first.EndpointEnded,
-		"firstNumber", first.Ack, "firstIdleMs", first.Idle.Milliseconds(), "longestIdleFlow", oldest.Caller, "longestIdleNumber", oldest.Ack, "longestIdleMs", oldest.Idle.Milliseconds())
-}
-
 // applyUpdate applies an update from the control host.
 func (d *engineDuty) applyUpdate(u *wirepb.EdgeUpdate) {
 	d.updatedAt = d.now
@@ -260,6 +248,7 @@
 		d.remove(id)
 	}
 	d.setColdGrants(u)
+	d.applyRotation(u)
 	if u.GetLastPart() {
 		d.isIncomplete = false
 		d.removeUnlisted()
--- a/internal/edge/engine_test.go
+++ b/internal/edge/engine_test.go
@@ -30,7 +30,7 @@
 		log: slog.New(slog.DiscardHandler), engine: affinity.New(affinity.Config{Domain: "a"}),
 		packetsOut: ring.New[*datagram]("out", 16, ring.DropNewest), freeDatagrams: ring.New[*datagram]("free", 16, ring.DropNewest),
 		followInbox: ring.New[followEvent]("follow", 16, ring.DropNewest),
-		clock:       func() time.Duration { return h.time }, metrics: newCounters(metrics.NewRegistry()),
+		clock:       func() time.Duration { return h.time }, bootClock: func() time.Duration { return h.time }, metrics: newCounters(metrics.NewRegistry()),
 		endpoints: map[uint64]registry.Endpoint{}, listedEndpoints: map[uint64]bool{}, stateSince: -1,
 	}
 	return h
@@ -146,27 +146,3 @@
 		Expect(h.engine.EndpointCount()).To(Equal(1))
 	})
 })
-
-var _ = Describe("idle flows", func() {
-	// Guards against callers that keep flows to an endpoint that has ended.
-	It("are reset with the acknowledgment number of the caller", func() {
-		h := newEngineHarness()
-		h.receive(&wirepb.EdgeUpdate{Table: routes(1), Endpoints: []*wirepb.EndpointReport{reportOf(1, 1, registry.Ready, false)}})
-		p := affinity.Packet{
-			Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:443"),
-			Flags: affinity.ACK, Token: affinity.Token(1), Seq: 1, Ack: 7,
-		}
-		Expect(h.handle(packetArrived{&datagram{packet: p}})).To(Succeed())
-		forwarded, err := h.packetsOut.Get()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(forwarded.verdict).To(Equal(affinity.Forward))
-		h.receive(&wirepb.EdgeUpdate{Endpoints: []*wirepb.EndpointReport{reportOf(1, 2, registry.Gone, false)}})
-		h.time += 5 * time.Second
-		Expect(h.handle(tick{})).To(Succeed())
-		reset, err := h.packetsOut.Get()
-		Expect(err).NotTo(HaveOccurred())
-		Expect(reset.verdict).To(Equal(affinity.Reset))
-		Expect(reset.packet.Caller).To(Equal(p.Caller))
-		Expect(reset.packet.Ack).To(Equal(p.Ack))
-	})
-})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -116,6 +116,9 @@
 	lastAttemptAt  map[string]time.Duration // last attempt by address of the control host
 	localAttemptAt time.Duration            // last attempt to return to the local failure domain
 	currentLostAt  time.Duration            // loss of the last current control host, initially the start
+	demand         []affinity.Demand        // latest one
+	process        uint64                   // random number of this process
+	isStopping     bool                     // the host leaves the rotation and ends
 }
 
 func (d *followDuty) handle(e followEvent) error {
@@ -130,15 +133,28 @@
 	case seedsChanged:
 		d.seeds = e.seeds
 	case demandMeasured:
-		if d.current != nil {
-			d.current.outbox.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeDemand{EdgeDemand: wire.DemandToProto(e.demand, e.delays)}})
-		}
+		d.demand = e.demand
+		d.sendDemand(wire.DemandToProto(e.demand, e.delays))
+	case rotationMessage:
+		d.isStopping = d.isStopping || e.stopping
+		m := wire.DemandToProto(d.demand, nil) // a message replaces the demand of the one before
+		m.RotationQuestion, m.RotationStatement = e.question, e.statement
+		d.sendDemand(m)
 	case pauseEnded:
 		return d.followAnew()
 	}
 	return nil
 }
 
+// sendDemand sends a message to the current control host.
+func (d *followDuty) sendDemand(m *wirepb.EdgeDemand) {
+	if d.current == nil {
+		return
+	}
+	m.Stopping = d.isStopping // repeated, since the control host may be another one
+	d.current.outbox.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeDemand{EdgeDemand: m}})
+}
+
 // followAnew closes all connections and opens others, whose updates are newer than a pause of the process.
 func (d *followDuty) followAnew() error {
 	for _, c := range slices.Clone(d.connections) {
@@ -360,7 +376,7 @@
 // sendFollowRequest subscribes to a control host: to the full state and all changes if wantsState
 // is set, else to the first part and heartbeats.
 func (d *followDuty) sendFollowRequest(c *connection, wantsState bool) {
-	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain, Chosen: wantsState, AcceptsCompressed: true}
+	request := &wirepb.EdgeFollow{Host: d.settings.Host, Domain: d.settings.Domain, Chosen: wantsState, AcceptsCompressed: true, Process: d.process}
 	c.outbox.Offer(&wirepb.Envelope{Body: &wirepb.Envelope_EdgeFollow{EdgeFollow: request}})
 }
 
--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +19,7 @@
 	"cassiawood/internal/explain"
 	"cassiawood/internal/registry"
 	"cassiawood/internal/ring"
+	"cassiawood/internal/rotation"
 	"cassiawood/internal/telemetry"
 )
 
@@ -66,9 +68,10 @@
 	endpoints metrics.Gauge
 	// evacuations is the number of evacuated failure domains.
 	evacuations metrics.Gauge
-	// idleResets counts the idle flows that were reset because their endpoint had ended.
-	idleResets metrics.Counter
-	delay      metrics.Histogram // microseconds from receiving to sending, of one in packetsPerDelaySample
+	// idleFlows counts idle flows of endpoints that had ended or answered nothing, by rotation.Verdict. Those that had not moved were reset. A flow
+	// about which the hosts did not answer counts once for each question.
+	idleFlows []metrics.Counter
+	delay     metrics.Histogram // microseconds from receiving to sending, of one in packetsPerDelaySample
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -81,12 +84,14 @@
 		version:     metrics.NewRegisteredGauge("desired.version", r),
 		endpoints:   metrics.NewRegisteredGauge("endpoints.known", r),
 		evacuations: metrics.NewRegisteredGauge("evacuations.inForce", r),
-		idleResets:  metrics.NewRegisteredCounter("flows.idle.reset", r),
 		delay:       telemetry.NewHistogram("packets.delay.microseconds", r),
 	}
 	for _, reason := range affinity.Reasons() {
 		c.decisions = append(c.decisions, metrics.NewRegisteredCounter("packets."+reason.String(), r))
 	}
+	for v := range rotation.VerdictCount {
+		c.idleFlows = append(c.idleFlows, metrics.NewRegisteredCounter("flows.idle.ended."+v.String(), r))
+	}
 	return c
 }
 
@@ -131,12 +136,12 @@
 	h.stopFollowing = cancel
 	engine := &engineDuty{
 		log: h.log, engine: affinity.New(affinity.Config{Domain: h.settings.Domain, Seed: xxhash.Sum64String(h.settings.Host), LinkBytesPerSecond: h.settings.LinkBytesPerSecond}), packetsOut: h.packetsOut, freeDatagrams: h.freeDatagrams, followInbox: h.followInbox,
-		clock: clock, metrics: m, endpoints: map[uint64]registry.Endpoint{}, listedEndpoints: map[uint64]bool{}, stateSince: -1,
+		clock: clock, bootClock: duty.BootClock(), metrics: m, endpoints: map[uint64]registry.Endpoint{}, listedEndpoints: map[uint64]bool{}, stateSince: -1,
 	}
 	follow := &followDuty{
 		log: h.log, settings: h.settings, inbox: h.followInbox, engineInbox: h.engineInbox, clock: clock, ctx: ctx,
 		seeds: h.settings.SeedAddresses(), lastAttemptAt: map[string]time.Duration{}, domains: map[string]string{},
-		currentLostAt: clock(),
+		currentLostAt: clock(), process: rand.Uint64() | 1,
 	}
 	in := &packetReader{socket: h.socket, codec: codec, freeDatagrams: h.freeDatagrams, engineInbox: h.engineInbox, clock: clock, metrics: m}
 	out := &packetWriter{log: h.log, socket: h.socket, codec: codec, freeDatagrams: h.freeDatagrams, clock: clock, metrics: m}
--- a/internal/edge/path_ends_test.go
+++ b/internal/edge/path_ends_test.go
@@ -177,8 +177,8 @@
 		}
 		v.s.after(simWork, func() {
 			if !v.ended && v.flows[f.peer] == f {
-				f.pending = 500
-				f.sent += 500
+				f.pending = v.s.traffic.answerBytes
+				f.sent += uint32(f.pending)
 				v.answer(f)
 			}
 		})
@@ -294,7 +294,7 @@
 		}
 		if isNew {
 			f.attempt++
-			f.s.after(time.Duration(f.s.rng.IntN(3000))*time.Millisecond, f.request)
+			f.s.after(f.s.traffic.drawIdle(f.s.rng), f.request)
 		}
 	case r.seq == f.peer:
 		f.acked = r.ack
@@ -308,7 +308,9 @@
 	case f == nil || f.closed:
 	case !f.open:
 		f.again("reset by the system")
-	case f.peer-p.Ack+simResetWindow > 2*simResetWindow: // none of this flow
+	case f.peer-p.Ack+simResetWindow > 2*simResetWindow && p.Flags != 0: // the answer to an earlier packet
+	case f.peer-p.Ack+simResetWindow > 2*simResetWindow:
+		s.fail("the flow of %v is open and gets a packet of the system's own that is no reset of it: its number is %d from the caller's acknowledgement", f.self, int32(p.Ack-f.peer))
 	case f.owner != nil && f.owner.isSound() && f.startedAt < s.now-10*time.Millisecond:
 		s.fail("the flow of %v, open at endpoint %d, which serves, is reset", f.self, f.owner.id)
 	default:
--- a/internal/edge/path_schedule_test.go
+++ b/internal/edge/path_schedule_test.go
@@ -20,7 +20,9 @@
 
 var (
 	plannedEvents = []string{"stop host", "stop host", "remove host", "add host", "drain endpoint", "add endpoint", "change route", "evacuate", "nothing"}
-	allEvents     = append([]string{
+	// movingEvents move flows between hosts while endpoints leave.
+	movingEvents = []string{"stop host", "stop host", "add host", "remove host", "drain endpoint", "drain endpoint", "add endpoint", "nothing"}
+	allEvents    = append([]string{
 		"kill host", "freeze host", "freeze host", "cut host", "crash endpoint", "restart endpoint", "mute endpoint", "reuse address", "odd report", "late removal", "lose packets", "lose packets",
 	}, plannedEvents...)
 )
@@ -33,7 +35,7 @@
 		if port++; port > 1900 {
 			port = 1000
 		}
-		s.openFlow(port, 1+s.rng.IntN(6), 0)
+		s.openFlow(port, 1+s.rng.IntN(s.traffic.requests), 0)
 	})
 	s.run(time.Second)
 	for range rapid.IntRange(1, 12).Draw(t, "events") {
@@ -95,6 +97,7 @@
 		s.calm = false
 		process := h.process
 		h.frozen = true
+		h.loseAfter(time.Second)
 		s.after(last, func() {
 			if h.duty != nil && h.process == process {
 				h.wake()
@@ -102,6 +105,7 @@
 		})
 	case kind == "cut host" && hostIsFree:
 		s.calm = false
+		h.loseAfter(time.Second)
 		h.cut = true
 		h.connection++
 		s.after(last, func() { h.cut = false; h.follow(20 * time.Millisecond) })
@@ -144,9 +148,10 @@
 	}
 }
 
-func checkPath(t *testing.T, events []string) {
+func checkPath(t *testing.T, events []string, traffic simTraffic) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newPathSite(rapid.Uint64Max(1<<20).Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "hosts"))
+		s.traffic = traffic
 		if s.play(t, events); s.err != nil {
 			for _, line := range s.trace {
 				t.Log(line)
@@ -158,7 +163,10 @@
 
 // Guards against packets that go to the wrong endpoint, and against resets of flows whose endpoint serves, in orders of events that
 // nobody has chosen.
-func TestDrawnPath(t *testing.T) { checkPath(t, allEvents) }
+func TestDrawnPath(t *testing.T) { checkPath(t, allEvents, mixedTraffic) }
 
 // Guards against requests that planned work cuts off, without any loss or fault.
-func TestDrawnPlannedWork(t *testing.T) { checkPath(t, plannedEvents) }
+func TestDrawnPlannedWork(t *testing.T) { checkPath(t, plannedEvents, mixedTraffic) }
+
+// Guards against resets of an endpoint's flows whose number is from before the flow moved to another host.
+func TestDrawnMoves(t *testing.T) { checkPath(t, movingEvents, heavyTraffic) }
--- a/internal/edge/path_sim_test.go
+++ b/internal/edge/path_sim_test.go
@@ -14,6 +14,7 @@
 	"cassiawood/internal/affinity"
 	"cassiawood/internal/registry"
 	"cassiawood/internal/ring"
+	"cassiawood/internal/rotation"
 	"cassiawood/internal/routing"
 	"cassiawood/internal/wire"
 	"cassiawood/internal/wire/wirepb"
@@ -36,6 +37,31 @@
 
 var simRoute = netip.MustParseAddrPort("198.18.0.1:443")
 
+// simTraffic says what callers do on their flows.
+type simTraffic struct {
+	requests    int // on a flow, at most
+	answerBytes int
+	longestIdle time.Duration // between two requests
+	longIdles   int           // of ten pauses: those that are drawn up to longestIdle; the others are up to shortIdle
+	shortIdle   time.Duration
+}
+
+var (
+	mixedTraffic = simTraffic{requests: 6, answerBytes: 500, longestIdle: 3 * time.Second, longIdles: 10}
+	// heavyTraffic moves the numbers of a flow out of the range of a reset within seconds. Its answers are of as many packets as an endpoint sends
+	// without an acknowledgement.
+	heavyTraffic = simTraffic{requests: 20, answerBytes: 16 * 1200, longestIdle: 9 * time.Second, longIdles: 2, shortIdle: 400 * time.Millisecond}
+)
+
+// drawIdle draws the time until the next request on a flow.
+func (t simTraffic) drawIdle(rng *rand.Rand) time.Duration {
+	longest := t.longestIdle
+	if t.longIdles < 10 && rng.IntN(10) >= t.longIdles {
+		longest = t.shortIdle
+	}
+	return time.Duration(rng.IntN(int(longest.Milliseconds()))) * time.Millisecond
+}
+
 // pathEvent is something that happens at a time.
 type pathEvent struct {
 	at time.Duration
@@ -56,6 +82,10 @@
 	allowed   map[string]bool              // services that any version has named
 	revision  uint64                       // of the evacuations
 	loss      float64
+	traffic   simTraffic
+	roster    *rotation.Roster
+	rounds    map[uint64]*pathRound // by number
+	lastRound uint64
 	calm      bool // nothing but planned work has happened, and no packet was lost
 	err       error
 	trace     []string
@@ -64,7 +94,8 @@
 func newPathSite(seed uint64, hosts int) *pathSite {
 	s := &pathSite{
 		rng: rand.New(rand.NewPCG(seed, 3)), now: time.Second, running: map[netip.AddrPort]*pathEndpoint{}, state: routing.NewState(), flows: map[netip.AddrPort]*pathFlow{},
-		registry: registry.New(registry.Limits{SilentAfter: simSilentAfter, ForgetAfter: time.Minute}), allowed: map[string]bool{}, calm: true,
+		registry: registry.New(registry.Limits{SilentAfter: simSilentAfter, ForgetAfter: time.Minute}), allowed: map[string]bool{}, calm: true, traffic: mixedTraffic,
+		roster: rotation.NewRoster(-time.Minute), rounds: map[uint64]*pathRound{},
 	}
 	s.setService("desk")
 	for i := range 4 {
@@ -145,7 +176,7 @@
 	h.duty = &engineDuty{
 		log: slog.New(slog.DiscardHandler), engine: affinity.New(affinity.Config{Domain: "a", Seed: uint64(h.number)}),
 		packetsOut: ring.New[*datagram]("out", 512, ring.DropNewest), freeDatagrams: ring.New[*datagram]("free", 512, ring.DropNewest),
-		followInbox: ring.New[followEvent]("follow", 64, ring.DropNewest), clock: func() time.Duration { return s.now },
+		followInbox: ring.New[followEvent]("follow", 64, ring.DropNewest), clock: func() time.Duration { return s.now }, bootClock: func() time.Duration { return s.now },
 		metrics: newCounters(metrics.NewRegistry()), endpoints: map[uint64]registry.Endpoint{}, listedEndpoints: map[uint64]bool{}, stateSince: -1,
 	}
 	h.frozen, h.waiting, h.stoppedAt = false, nil, 0
@@ -173,6 +204,7 @@
 			return
 		}
 		h.updatesArrive = 0
+		h.s.roster.Follow("a", h.entryProcess())
 		h.update(&wirepb.EdgeUpdate{FirstPart: true}, 0)
 		u := &wirepb.EdgeUpdate{LastPart: true, Table: wire.TableToProto(h.s.state.TableFor(nil)), Evacuation: wire.EvacuationsToProto(h.s.state.Evacuations())}
 		for _, e := range h.s.registry.All() {
@@ -208,12 +240,17 @@
 		return
 	}
 	for h.duty.followInbox.Depth() > 0 {
-		if e, err := h.duty.followInbox.Get(); err == nil {
-			if _, isPause := e.(pauseEnded); isPause {
-				h.connection++
-				h.handle(followedAnew{})
-				h.follow(20 * time.Millisecond)
-			}
+		e, err := h.duty.followInbox.Get()
+		if err != nil {
+			return
+		}
+		switch e := e.(type) {
+		case pauseEnded:
+			h.connection++
+			h.handle(followedAnew{})
+			h.follow(20 * time.Millisecond)
+		case rotationMessage:
+			h.sendRotation(e)
 		}
 	}
 	for h.duty.packetsOut.Depth() > 0 {
@@ -277,13 +314,15 @@
 	}
 }
 
-func (h *pathHost) end() { h.duty, h.frozen, h.waiting = nil, false, nil }
+func (h *pathHost) end() {
+	h.loseAfter(0)
+	h.duty, h.frozen, h.waiting = nil, false, nil
+}
 
 // probe asks the hosts whether they are ready, as the fabric does: two misses take one out of rotation.
 func (s *pathSite) probe() {
 	for _, h := range s.hosts {
-		ready := h.duty != nil && !h.frozen && h.duty.isReady()
-		if h.misses++; ready {
+		if h.misses++; h.isReady() {
 			h.misses, h.inRotation = 0, true
 		} else if h.misses >= 2 {
 			h.inRotation = false
