Answer nothing that may have waited during a pause of the host with a reset

A frozen entry host finds the packets of the meantime in its socket. Example: a first packet is placed by one host, its copy comes to a host that stands still for half a second, the flow opens, and the host wakes and resets it with number 1.

Callers repeat what has had no answer, and the repetition is answered. What is forwarded still is.

A flow is open once its endpoint has the end of the handshake, so a reset that was sent before that may have any number.

--- a/internal/affinity/engine.go
+++ b/internal/affinity/engine.go
@@ -342,8 +342,11 @@
 // Decide returns the decision for a packet of a caller.
 func (e *Engine) Decide(now time.Duration, p Packet) Decision {
 	d := e.decide(now, p)
-	if d.Verdict == Forward {
+	switch {
+	case d.Verdict == Forward:
 		e.link.count(now, p)
+	case d.Verdict == Reset && e.mayHaveWaited(now):
+		d.Verdict, d.Reason = Drop, Waited // its caller repeats what has had no answer
 	}
 	return d
 }
--- a/internal/affinity/types.go
+++ b/internal/affinity/types.go
@@ -68,12 +68,13 @@
 	LateCopy                   // a retransmitted first packet of an open flow whose endpoint gets no first packets
 	ColdLimit                  // a retransmitted first packet for an endpoint whose limit during the slow start is used up
 	LinkFull                   // the link of this host is full, and the caller may come through another one
+	Waited                     // the packet may have waited during a pause of this host, and an answer would have an old number
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "unanswered", "not placed", "repeated", "by token", "no state", "no route", "no endpoint", "unknown token", "foreign token",
-	"endpoint gone", "stalled", "caller reset", "old state", "late copy", "cold limit", "link full",
+	"endpoint gone", "stalled", "caller reset", "old state", "late copy", "cold limit", "link full", "waited",
 }
 
 // String returns the name of the reason in logs and counters.
--- a/internal/edge/path_ends_test.go
+++ b/internal/edge/path_ends_test.go
@@ -301,14 +301,14 @@
 	}
 }
 
-// receiveReset takes a reset of the system.
-func (s *pathSite) receiveReset(p affinity.Packet) {
+// receiveReset takes a reset of the system. The flow is that of the caller's port when it was sent, and wasOpen says whether it was open then.
+func (s *pathSite) receiveReset(p affinity.Packet, sentFor *pathFlow, wasOpen bool) {
 	f := s.flows[p.Caller]
 	switch {
 	case f == nil || f.closed:
 	case !f.open:
 		f.again("reset by the system")
-	case f.peer-p.Ack+simResetWindow > 2*simResetWindow && p.Flags != 0: // the answer to an earlier packet
+	case f.peer-p.Ack+simResetWindow > 2*simResetWindow && f == sentFor && !wasOpen: // it has crossed the answer of the endpoint
 	case f.peer-p.Ack+simResetWindow > 2*simResetWindow:
 		s.fail("the flow of %v is open and gets a packet of the system's own that is no reset of it: its number is %d from the caller's acknowledgement", f.self, int32(p.Ack-f.peer))
 	case f.owner != nil && f.owner.isSound() && f.startedAt < s.now-10*time.Millisecond:
--- a/internal/edge/path_sim_test.go
+++ b/internal/edge/path_sim_test.go
@@ -259,8 +259,10 @@
 			return
 		}
 		if g.verdict == affinity.Reset {
-			p := g.packet
-			h.s.transit(func() { h.s.receiveReset(p) })
+			// A flow is open once its endpoint has the end of the handshake. A reset that is sent before may have any number.
+			p, f := g.packet, h.s.flows[g.packet.Caller]
+			wasOpen := f != nil && f.owner != nil
+			h.s.transit(func() { h.s.receiveReset(p, f, wasOpen) })
 			continue
 		}
 		packet, address, id, token := g.packet, g.endpointAddress, g.endpoint, g.token
