--- a/internal/edge/module.go
+++ b/internal/edge/module.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,7 +91,7 @@
 		c.decisions = append(c.decisions, metrics.NewRegisteredCounter("packets."+reason.String(), r))
 	}
 	for v := range rotation.VerdictCount {
-		c.idleFlows = append(c.idleFlows, metrics.NewRegisteredCounter("flows.idle.ended."+v.String(), r))
+		c.idleFlows = append(c.idleFlows, metrics.NewRegisteredCounter("flows.idle.ended."+strings.ReplaceAll(v.String(), " ", "_"), r))
 	}
 	return c
 }
