Say when the first start was interrupted, and what an operator has to do

Cause: seeds that come back without their identity look like hosts that have lost their disks.

docs/design/votes.md has the cases: what the hosts in contact can know does not tell an interrupted first start from lost disks beyond the tolerance, or from replaced seeds that are cut off, so they do not form the system anew.

--- a/internal/cluster/desired.go
+++ b/internal/cluster/desired.go
@@ -57,7 +57,7 @@
 	case d.hasMajorityContact() && d.leaderAddress() != "":
 		return NotLeaderError{Address: d.leaderAddress()}
 	default:
-		return ErrUnavailable
+		return d.unavailable()
 	}
 }
 
--- a/internal/cluster/evacuation.go
+++ b/internal/cluster/evacuation.go
@@ -123,7 +123,7 @@
 		canServe = d.majoritySupportsEvacuations() && d.hasMajorityContact()
 	}
 	if !canServe && !d.isStopping {
-		return ErrUnavailable
+		return d.unavailable()
 	}
 	if err := d.checkTakesRequests(); err != nil {
 		return err
--- a/internal/cluster/identity.go
+++ b/internal/cluster/identity.go
@@ -63,12 +63,15 @@
 	return id, nil
 }
 
+// firstIdentity returns the ID of a first voter with the address.
+func firstIdentity(address string) uint64 { return xxhash.Sum64String(address) | 1 }
+
 // newIdentity derives the IDs of the first voters from the addresses of the seeds, which are the
 // same on all hosts at the first start. All other IDs are random.
 func newIdentity(s Settings) identity {
 	var initial changelog.Membership
 	for _, seed := range s.Seeds {
-		initial = initial.With(changelog.Member{ID: xxhash.Sum64String(seed.String()) | 1, Address: seed.String(), Voter: true})
+		initial = initial.With(changelog.Member{ID: firstIdentity(seed.String()), Address: seed.String(), Voter: true})
 	}
 	isSeed := func(m changelog.Member) bool { return m.Address == s.Address.String() }
 	if i := slices.IndexFunc(initial, isSeed); s.FirstStart && i >= 0 {
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -48,6 +48,7 @@
 // handleJoinRequest stores a join request on the leader. Other hosts forward it to the leader,
 // whose address the joining host may not know.
 func (d *stateDuty) handleJoinRequest(e joinRequest) {
+	d.firstStart.recordJoining(d.now, e.member.Address, e.member.ID)
 	if d.isLeader() {
 		d.joinRequests[e.member.ID] = pendingJoin{e.member, d.now}
 		d.changeMembership()
--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -110,6 +110,7 @@
 
 	evacuationLatency metrics.Histogram // from an order to evacuate to its acknowledgement, in microseconds
 	evacuations       metrics.Gauge     // failure domains that are evacuated
+	interruptedStart  metrics.Gauge     // seeds without the identity of a first voter while no majority can form
 }
 
 func newHost(s Settings, log *slog.Logger, registry metrics.Registry, shutdown fx.Shutdowner) (*Host, error) {
@@ -153,6 +154,7 @@
 		reportLatency:     telemetry.NewHistogram("endpoint.report.microseconds", registry),
 		evacuationLatency: telemetry.NewHistogram("evacuation.commit.microseconds", registry),
 		evacuations:       metrics.NewRegisteredGauge("evacuations.inForce", registry),
+		interruptedStart:  metrics.NewRegisteredGauge("seeds.without.identity", registry),
 	}
 }
 
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -82,6 +82,7 @@
 	steering             steering
 	coldGrants           coldGrants
 	rotation             rotationRounds
+	firstStart           firstStart
 	registryChanged      bool          // the registry has changed since it was saved
 	endpointLeft         bool          // so has an endpoint's state, to draining or gone
 	registrySavedAt      time.Duration // last save of the registry
@@ -164,6 +165,7 @@
 	d.expireOrders()
 	d.changeMembership()
 	d.requestJoin()
+	d.observeFirstStart()
 	d.broadcastSignsOfLife()
 	d.steering.expire(d.now)
 	d.expireRounds()
