Handle signals from the begin of main on, and settings that change while they are read

SIGTERM in the same time ended the process as if nobody handled it. A change of the settings file between the read of the settings and the begin of the watch was never noticed.

Main catches SIGHUP, SIGTERM and SIGINT first. A reload that is asked for early is done once there is something to reload. A stop ends the start: the wait for a disk gives up, and a start that hangs is left after the limit of a stop; the exit code is 0. Main notes the version of the settings file before it reads it.

Signals before main (start of the runtime and of packages) still have their default action.

--- a/internal/cluster/module.go
+++ b/internal/cluster/module.go
@@ -113,7 +113,8 @@
 	interruptedStart  metrics.Gauge     // seeds without the identity of a first voter while no majority can form
 }
 
-func newHost(s Settings, log *slog.Logger, registry metrics.Registry, shutdown fx.Shutdowner) (*Host, error) {
+// newHost opens the data folder of a host and adds its duties. The context ends when the process is to be stopped before it has started.
+func newHost(ctx context.Context, s Settings, log *slog.Logger, registry metrics.Registry, shutdown fx.Shutdowner) (*Host, error) {
 	h := &Host{
 		log: log, settings: s,
 		logInbox:          ring.New[replica.Event]("log-in", logInboxCapacity, ring.Block),
@@ -129,7 +130,7 @@
 	telemetry.RegisterRing(registry, h.linksInbox)
 	h.group = duty.NewGroup(log, handlerTimeout, func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) })
 	h.clock, h.metrics = duty.SteadyClock(), newCounters(registry)
-	id, node, routes, err := h.openData(h.clock)
+	id, node, routes, err := h.openData(ctx, h.clock)
 	if err != nil {
 		return nil, err
 	}
@@ -173,17 +174,20 @@
 }
 
 // openData reads the data folder. It retries for up to openTimeout, since a full or stalled disk
-// may refuse writes for a while.
-func (h *Host) openData(clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
+// may refuse writes for a while. It gives up when the context ends.
+func (h *Host) openData(ctx context.Context, clock func() time.Duration) (identity, *changelog.Node, *routing.State, error) {
 	deadline := clock() + openTimeout
 	for {
 		id, node, routes, err := h.tryOpenData(clock)
 		var unreadable *unreadableStateError
-		if err == nil || clock() >= deadline || errors.As(err, &unreadable) {
+		if err == nil || clock() >= deadline || errors.As(err, &unreadable) || ctx.Err() != nil {
 			return id, node, routes, err
 		}
 		h.log.Warn("data folder cannot be opened yet", "error", err)
-		time.Sleep(openRetryInterval)
+		select {
+		case <-ctx.Done():
+		case <-time.After(openRetryInterval):
+		}
 	}
 }
 
--- a/internal/cluster/open_test.go
+++ b/internal/cluster/open_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -49,7 +50,7 @@
 		identityPath := filepath.Join(h.settings.DataFolder, identityFile)
 		before, err := os.ReadFile(identityPath)
 		Expect(err).NotTo(HaveOccurred())
-		_, _, _, err = h.openData(clock())
+		_, _, _, err = h.openData(context.Background(), clock())
 		Expect(err).To(MatchError(ContainSubstring("start the version that wrote it")))
 		after, err := os.ReadFile(identityPath)
 		Expect(err).NotTo(HaveOccurred())
@@ -70,7 +71,7 @@
 		content[len(content)-1] ^= 1
 		Expect(os.WriteFile(path, content, 0o600)).To(Succeed())
 		h.settings.FirstStart = false
-		id, node, _, err := h.openData(clock())
+		id, node, _, err := h.openData(context.Background(), clock())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(id.ID).NotTo(Equal(before.ID))
 		Expect(node.Status().LastIndex).To(BeZero())
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -82,6 +82,7 @@
 
 // Main runs a daemon with the arguments of the command line and returns its exit code.
 func Main[S any](d Daemon[S], args []string) int {
+	catchSignals()
 	if file := os.Getenv(d.SettingsVariable); d.SettingsVariable != "" && file != "" && len(args) == 0 {
 		args = []string{"-settings", file}
 	}
@@ -92,6 +93,7 @@
 	if err != nil {
 		return ExitBadUsage
 	}
+	noteSettings(flags.SettingsFile)
 	s, config, err := loadSettings(d, flags.SettingsFile)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
@@ -160,24 +162,41 @@
 
 // Run starts the application, waits for a signal or a shutdown by the application,
 // such as after a failed duty, and stops it within limit. It returns the exit code. A
-// second signal interrupts the stop; describeLoss then says what is lost.
+// second signal interrupts the stop; describeLoss then says what is lost. A signal that arrives
+// during the start ends the context.Context that the application may take as a dependency, and
+// the process as soon as the start returns.
 func Run(log *slog.Logger, limit time.Duration, describeLoss func() string, options ...fx.Option) int {
-	app := fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout),
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))...)
+	signals := catchSignals().stop
+	logSignal := func(s os.Signal) { log.Info("signal received, stopping", "signal", s.String(), "limit", limit) }
+	startContext, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	built := make(chan *fx.App, 1)
+	go func() {
+		built <- fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout), fx.Provide(func() context.Context { return startContext }),
+			fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))...)
+	}()
+	var app *fx.App
+	select {
+	case app = <-built:
+	case s := <-signals:
+		logSignal(s)
+		cancel()
+		select {
+		case <-built: // nothing has been accepted yet
+		case <-time.After(limit):
+		}
+		log.Info("stopped during the start", "exitCode", ExitDone)
+		return ExitDone
+	}
 	if err := app.Err(); err != nil {
 		log.Error("start failed", "error", dig.RootCause(err))
 		return ExitFailed
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	startContext, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
 	if err := app.Start(startContext); err != nil {
 		log.Error("start failed", "error", err)
 		return ExitFailed
 	}
 	exitCode := ExitDone
-	logSignal := func(s os.Signal) { log.Info("signal received, stopping", "signal", s.String(), "limit", limit) }
 	select {
 	case s := <-signals:
 		logSignal(s)
--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -4,8 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
+	"sync"
 	"time"
 
 	"cassiawood/internal/duty"
@@ -14,15 +13,38 @@
 // reloadInterval is the time between checks of the settings file, which may change without a signal.
 const reloadInterval = time.Second
 
-// Reload returns a duty that calls load when the settings file has changed or a
-// SIGHUP arrives. If load fails, the error is logged and the duty continues.
+// notedSettings is the version of the settings file before Main read it.
+var notedSettings struct {
+	sync.Mutex
+	file    string
+	version [2]int64
+}
+
+// noteSettings records the version of the settings file that is about to be read, so that Reload notices a change during the start.
+func noteSettings(file string) {
+	notedSettings.Lock()
+	defer notedSettings.Unlock()
+	notedSettings.file, notedSettings.version = file, fileVersion(file)
+}
+
+// firstVersion returns the noted version of the file, or its present one if none is noted.
+func firstVersion(file string) [2]int64 {
+	notedSettings.Lock()
+	defer notedSettings.Unlock()
+	if notedSettings.file == file {
+		return notedSettings.version
+	}
+	return fileVersion(file)
+}
+
+// Reload returns a duty that calls load when the settings file has changed since Main read it, or a
+// SIGHUP has arrived since the process started. If load fails, the error is logged and the duty continues.
 func Reload(file string, log *slog.Logger, load func() error) duty.Duty {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+	signals := catchSignals().reload
 	return duty.Duty{Name: "settings", Run: func(ctx context.Context, progress *duty.Progress) error {
 		ticker := time.NewTicker(reloadInterval)
 		defer ticker.Stop()
-		lastVersion := fileVersion(file)
+		lastVersion := firstVersion(file)
 		for {
 			cause := "the file has changed"
 			select {
