--- a/internal/affinity/ended.go
+++ b/internal/affinity/ended.go
@@ -75,15 +75,15 @@
 // learns the same from the answer to its next packet.
 func (e *Engine) ResetIdleFlows(now time.Duration, evidence rotation.Evidence, limit int) IdleResets {
 	var result IdleResets
-	ended := map[*endpoint]bool{}
+	due := map[*endpoint]bool{}
 	for _, ep := range e.idle.asked {
-		ended[ep] = ep.hasEnded(now) || e.isUnresponsive(now, ep)
+		due[ep] = ep.hasEnded(now) || e.isUnresponsive(now, ep) // it may have answered since
 	}
 	left := map[*endpoint]bool{} // with flows that are decided later
 	var next *flow
-	for f := e.lists[idle].oldest; f != nil && len(ended) > 0; f = next {
+	for f := e.lists[idle].oldest; f != nil && len(due) > 0; f = next {
 		next = f.next
-		if !ended[f.endpoint] {
+		if !due[f.endpoint] {
 			continue
 		}
 		verdict := evidence.Judge(f.lastPacketAt)
--- a/internal/cluster/rotation.go
+++ b/internal/cluster/rotation.go
@@ -87,7 +87,7 @@
 	}
 	number := d.startRound(&rotationRound{domain: domain, askers: askers}, peers)
 	if number == 0 {
-		return
+		return // the askers ask again
 	}
 	d.broadcast(&wirepb.EndpointUpdate{From: d.self.Address, RotationQuestion: &wirepb.RotationQuestion{Round: number, Domain: domain}})
 	d.finishRound(number, d.rotation.rounds[number])
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -168,11 +168,11 @@
 func Run(log *slog.Logger, limit time.Duration, describeLoss func() string, options ...fx.Option) int {
 	signals := catchSignals().stop
 	logSignal := func(s os.Signal) { log.Info("signal received, stopping", "signal", s.String(), "limit", limit) }
-	startContext, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
+	building, cancelBuilding := context.WithCancel(context.Background())
+	defer cancelBuilding()
 	built := make(chan *fx.App, 1)
 	go func() {
-		built <- fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout), fx.Provide(func() context.Context { return startContext }),
+		built <- fx.New(append(options, fx.StopTimeout(limit), fx.StartTimeout(startTimeout), fx.Provide(func() context.Context { return building }),
 			fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))...)
 	}()
 	var app *fx.App
@@ -180,18 +180,15 @@
 	case app = <-built:
 	case s := <-signals:
 		logSignal(s)
-		cancel()
-		select {
-		case <-built: // nothing has been accepted yet
-		case <-time.After(limit):
-		}
-		log.Info("stopped during the start", "exitCode", ExitDone)
-		return ExitDone
+		cancelBuilding()
+		return endBuilding(log, built, signals, limit)
 	}
 	if err := app.Err(); err != nil {
 		log.Error("start failed", "error", dig.RootCause(err))
 		return ExitFailed
 	}
+	startContext, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
 	if err := app.Start(startContext); err != nil {
 		log.Error("start failed", "error", err)
 		return ExitFailed
@@ -208,6 +205,20 @@
 	return stop(log, app, limit, exitCode, signals, describeLoss)
 }
 
+// endBuilding waits, at most for limit, until an application that is still being built has given up. It has accepted nothing yet, so nothing is lost.
+// It returns the exit code.
+func endBuilding(log *slog.Logger, built <-chan *fx.App, signals <-chan os.Signal, limit time.Duration) int {
+	select {
+	case <-built:
+	case <-time.After(limit):
+	case s := <-signals:
+		log.Error("second signal received, exiting without graceful stop", "signal", s.String(), "lost", "nothing, the process has not started")
+		return ExitAborted
+	}
+	log.Info("stopped during the start", "exitCode", ExitDone)
+	return ExitDone
+}
+
 // takeRelayedSignal takes the signal that fx has passed on to Wait out of signals, if it was one: left there it
 // would count as a second signal and cut the graceful stop off. fx handles signals until the application has
 // stopped, so none ends the process meanwhile.
